Serve a request over the whole path

Cause: there was nothing yet. The path was wanted end to end first.

Change: root types and interfaces; the table as CSV; store client over the etcd v3 JSON API with its stand-in; quota as parcels with shards and loans; slots owned through shards; idempotency records; poison marks; look-ups; peers over gRPC with CBOR; the commands entry, table, key, report, load, try.

--- /dev/null
+++ b/GNUmakefile
@@ -0,0 +1,33 @@
+GO ?= go
+LINT = $(GO) run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.12.2
+STRINGER = $(GO) run golang.org/x/tools/cmd/stringer@v0.52.0
+
+.PHONY: all build run test check lint fmt generate bench slopes clean
+
+all: build
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+run: build
+	bin/lacewingramp try
+
+test: lint check
+
+check: build
+	$(GO) test ./...
+
+lint:
+	$(LINT) run ./...
+
+fmt:
+	$(LINT) fmt ./...
+
+generate:
+	$(GO) generate ./...
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/cmd/lacewingramp/main.go
@@ -0,0 +1,12 @@
+// Command lacewingramp steers callers' requests across regions and targets.
+package main
+
+import (
+	"os"
+
+	"lacewingramp.example/lacewingramp/internal/operator/command"
+)
+
+func main() {
+	os.Exit(command.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,76 @@
+// Command standin runs stand-ins of the platform's store and of targets as
+// plain processes, for tests and benchmarks.
+//
+// Usage:
+//
+//	standin store ADDRESS
+//	standin targets TABLE.csv [DOMAIN ...]
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"slices"
+	"time"
+
+	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/config/sheet"
+	"lacewingramp.example/lacewingramp/internal/platform/gateway"
+	"lacewingramp.example/lacewingramp/internal/platform/memory"
+	"lacewingramp.example/lacewingramp/internal/platform/target"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	targetTime    = 5 * time.Millisecond
+	leastArgs     = 3
+)
+
+func main() {
+	if err := run(os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string) error {
+	if len(args) < leastArgs {
+		return fmt.Errorf("usage: standin store ADDRESS | standin targets TABLE.csv [DOMAIN ...]")
+	}
+	switch args[1] {
+	case "store":
+		return serve(args[2], gateway.New(&memory.Store{}))
+	case "targets":
+		return targets(args[2], args[3:])
+	default:
+		return fmt.Errorf("unknown stand-in %q", args[1])
+	}
+}
+
+func serve(address string, h http.Handler) error {
+	s := &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: headerTimeout}
+	return s.ListenAndServe()
+}
+
+// targets runs every target of a table, or those of some domains.
+func targets(file string, domains []string) error {
+	f, err := os.Open(file)
+	if err != nil {
+		return err
+	}
+	t, err := sheet.Decode(file, f)
+	_ = f.Close()
+	if err != nil {
+		return err
+	}
+	failed := make(chan error)
+	for _, k := range t.Targets {
+		if len(domains) > 0 && !slices.Contains(domains, k.Domain) {
+			continue
+		}
+		b := target.Behaviour{Time: lacewingramp.Duration(targetTime)}
+		go func() { failed <- serve(k.Address, target.New(k.Name, k.Slots, b)) }()
+	}
+	return <-failed
+}
--- /dev/null
+++ b/digest.go
@@ -0,0 +1,135 @@
+package lacewingramp
+
+import "time"
+
+// Endpoint says how an instance is reached. Name is unique to one life of
+// the instance.
+type Endpoint struct {
+	Name    string `json:"name"`
+	Domain  string `json:"domain"`
+	Peer    string `json:"peer"`
+	Caller  string `json:"caller"`
+	Leaving bool   `json:"leaving,omitempty"`
+}
+
+// Check reports an endpoint that can not be reached.
+func (e *Endpoint) Check() error {
+	if e.Name == "" || e.Domain == "" || e.Peer == "" {
+		return &NameError{Kind: "instance", Name: e.Name}
+	}
+	return nil
+}
+
+// Claim is a shard of its failure domain that an instance holds.
+type Claim struct {
+	Shard int   `json:"shard"`
+	Epoch int64 `json:"epoch"`
+}
+
+// Room is what an instance can take on for one service: Free slots now, all
+// its Slots, and how many requests wait.
+type Room struct {
+	Service string `json:"service"`
+	Free    int    `json:"free"`
+	Slots   int    `json:"slots"`
+	Waiting int    `json:"waiting"`
+}
+
+// Mark says how many targets died while they ran the request with this print,
+// as seen by one instance.
+type Mark struct {
+	Print    uint64 `json:"print"`
+	Instance string `json:"instance"`
+	Deaths   int    `json:"deaths"`
+}
+
+// Evidence is what one instance has seen of one version on one route. All
+// fields only rise, so that reports merge by their maximum.
+type Evidence struct {
+	Instance string  `json:"instance"`
+	Service  string  `json:"service"`
+	Route    string  `json:"route"`
+	Version  string  `json:"version"`
+	Count    int64   `json:"count"`
+	Failures int64   `json:"failures"`
+	Slow     int64   `json:"slow"`
+	Seconds  float64 `json:"seconds"`
+}
+
+// Outcome is the end of a rollout, written once.
+type Outcome struct {
+	Rollout string    `json:"rollout"`
+	Start   time.Time `json:"start"`
+	State   string    `json:"state"`
+	Reason  string    `json:"reason"`
+	Moment  time.Time `json:"moment"`
+}
+
+// Part is the part of every limit that a failure domain uses: Customers of
+// the customers' limits and Caps of its region's caps. Split is the revision
+// of the Table whose weights it comes from.
+type Part struct {
+	Customers Units  `json:"customers"`
+	Caps      Units  `json:"caps"`
+	Region    string `json:"region"`
+	Split     int64  `json:"split"`
+}
+
+// Digest is what an instance tells another at every heartbeat.
+//
+// Unconfirmed is how long ago the Table was confirmed to be the newest, by
+// the store or by an instance that had asked it. Others carries second-hand
+// digests of other failure domains with their age.
+type Digest struct {
+	Endpoint
+
+	Revision    int64         `json:"revision"`
+	Unconfirmed time.Duration `json:"unconfirmed"`
+	Part        *Part         `json:"part,omitempty"`
+	Claims      []Claim       `json:"claims,omitempty"`
+	Rooms       []Room        `json:"rooms,omitempty"`
+	Spares      []Spare       `json:"spares,omitempty"`
+	Marks       []Mark        `json:"marks,omitempty"`
+	Evidence    []Evidence    `json:"evidence,omitempty"`
+	Outcomes    []Outcome     `json:"outcomes,omitempty"`
+	Others      []Relayed     `json:"others,omitempty"`
+}
+
+// Relayed is a digest that an instance has heard from another, Age ago.
+type Relayed struct {
+	Age    time.Duration `json:"age"`
+	Digest Digest        `json:"digest"`
+}
+
+// Give asks a holder for a shard. From a leaving holder it offers one.
+type Give struct {
+	From  string `json:"from"`
+	Shard int    `json:"shard"`
+	// Offer carries the shard to its new holder when a leaving instance
+	// hands it over.
+	Offer *Handed `json:"offer,omitempty"`
+}
+
+// Handed is a shard on its way to a new holder.
+type Handed struct {
+	Given  bool      `json:"given"`
+	Shard  int       `json:"shard"`
+	Epoch  int64     `json:"epoch"`
+	Since  time.Time `json:"since"`
+	Levels []Level   `json:"levels,omitempty"`
+	Notes  []Note    `json:"notes,omitempty"`
+}
+
+// Level is the tokens of one subject that go with a shard.
+type Level struct {
+	Subject Subject `json:"subject"`
+	Tokens  float64 `json:"tokens"`
+}
+
+// Note is the record of one idempotency key.
+type Note struct {
+	Key    string    `json:"key"`
+	Print  uint64    `json:"print"`
+	Begun  time.Time `json:"begun"`
+	Answer *Answer   `json:"answer,omitempty"`
+}
--- /dev/null
+++ b/duration.go
@@ -0,0 +1,66 @@
+package lacewingramp
+
+import (
+	"fmt"
+	"time"
+)
+
+// Duration is a time.Duration that is written as text such as "250ms".
+type Duration time.Duration
+
+// MarshalText returns the duration in the form of time.Duration.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText reads a duration of 0 or more.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("want a duration such as 250ms or 4s")
+	}
+	if v < 0 {
+		return fmt.Errorf("want a duration of 0 or more")
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// DayMinute is a time of day as minutes after midnight plus one, so that the
+// zero value stands for no time.
+type DayMinute int
+
+const minutesPerHour = 60
+
+// NewDayMinute returns the DayMinute of an hour and a minute.
+func NewDayMinute(hour, minute int) DayMinute {
+	return DayMinute(hour*minutesPerHour + minute + 1)
+}
+
+// Clock returns the hour and the minute.
+func (m DayMinute) Clock() (hour, minute int) {
+	return int(m-1) / minutesPerHour, int(m-1) % minutesPerHour
+}
+
+// MarshalText returns the time as "22:30", or nothing for no time.
+func (m DayMinute) MarshalText() ([]byte, error) {
+	if m == 0 {
+		return nil, nil
+	}
+	h, n := m.Clock()
+	return fmt.Appendf(nil, "%02d:%02d", h, n), nil
+}
+
+// UnmarshalText reads a time of day such as "22:30".
+func (m *DayMinute) UnmarshalText(text []byte) error {
+	if len(text) == 0 {
+		*m = 0
+		return nil
+	}
+	t, err := time.Parse("15:04", string(text))
+	if err != nil {
+		return fmt.Errorf("want a time of day such as 22:30")
+	}
+	*m = NewDayMinute(t.Hour(), t.Minute())
+	return nil
+}
--- /dev/null
+++ b/internal/entry/carrier/carrier.go
@@ -0,0 +1,162 @@
+// Package carrier takes a request from its customer's limit to a target's
+// answer: quota, idempotency record, failure domain, slot, attempt.
+//
+// Every step ends in an answer or in a Refusal whose verdict says whether the
+// request may have run. A request is tried again only after the verdict that
+// it did not run; an idempotent one also once after it may have run, within a
+// budget, and never after a target died under it.
+//
+// # Usage
+//
+//	answer := carrier.Serve(ctx, carry)
+//	if answer.Refusal != nil {
+//		// Tell the caller the verdict.
+//	}
+package carrier
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/call/attempt"
+	"lacewingramp.example/lacewingramp/internal/config/index"
+	"lacewingramp.example/lacewingramp/internal/entry/state"
+	"lacewingramp.example/lacewingramp/internal/steer/slot"
+)
+
+// Borrower fetches quota for a subject whose requests wait.
+type Borrower interface {
+	// Need starts to borrow, unless that is under way already.
+	Need(s lacewingramp.Subject)
+}
+
+// Chooser says which version of a service a request should run on.
+type Chooser interface {
+	// Choose returns a version, or "" where any will do.
+	Choose(now time.Time, service, customer string) string
+	// Observe tells what became of a request on a version.
+	Observe(now time.Time, route, version string, failed bool, took time.Duration)
+}
+
+// Deaths spreads the news that a target died under a request.
+type Deaths interface {
+	// Died tells the other instances at once.
+	Died()
+}
+
+// Carrier carries requests. All exported fields are set before the first use.
+type Carrier struct {
+	State    *state.State
+	Timer    lacewingramp.Timer
+	Peer     lacewingramp.Peer
+	Calls    *attempt.Caller
+	Borrower Borrower
+	Chooser  Chooser
+	Deaths   Deaths
+
+	tickets atomic.Uint64
+	budgets sync.Map
+	waiting map[slot.Ticket]chan slot.Grant
+	lines   map[lacewingramp.Subject]*line
+	running map[slot.Ticket]running
+	repeats map[string]chan struct{}
+	worst   map[string]int
+	stats   Stats
+}
+
+// job is a request with what the Table says about it.
+type job struct {
+	*lacewingramp.Carry
+
+	route    *lacewingramp.Route
+	customer *lacewingramp.Customer
+	index    *index.Index
+	end      time.Time
+	print    uint64
+}
+
+func refused(id string, err error) *lacewingramp.Answer {
+	return &lacewingramp.Answer{ID: id, Refusal: lacewingramp.RefusalOf(err)}
+}
+
+// job reads a request against the Table in force.
+func (c *Carrier) job(r *lacewingramp.Carry) (*job, error) {
+	x := c.State.Index()
+	if x == nil {
+		return nil, lacewingramp.Refuse(lacewingramp.CauseTable, "no table in force yet")
+	}
+	route, ok := x.Route(r.Route)
+	if !ok {
+		return nil, lacewingramp.Refuse(lacewingramp.CauseRoute, "unknown route "+r.Route)
+	}
+	j := &job{Carry: r, route: route, index: x, end: c.Timer.Now().Add(r.Left)}
+	if u, ok := x.Named(r.Customer); ok {
+		j.customer = u
+	} else if !route.Open {
+		return nil, lacewingramp.Refuse(lacewingramp.CauseKey, "unknown customer")
+	}
+	return j, nil
+}
+
+// Serve carries the request of a caller whose key has been checked.
+func (c *Carrier) Serve(ctx context.Context, r *lacewingramp.Carry) *lacewingramp.Answer {
+	j, err := c.job(r)
+	if err != nil {
+		return refused(r.ID, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.Left)
+	defer cancel()
+	if j.customer != nil {
+		if err := c.spend(ctx, j); err != nil {
+			return refused(r.ID, err)
+		}
+	}
+	if r.Repeat != "" && !j.route.Idempotent {
+		return c.once(ctx, j)
+	}
+	return c.place(ctx, j)
+}
+
+// ServePeer carries a request for another instance, whose customer's limit
+// has been held there.
+func (c *Carrier) ServePeer(ctx context.Context, r *lacewingramp.Carry) *lacewingramp.Answer {
+	j, err := c.job(r)
+	if err != nil {
+		return refused(r.ID, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.Left)
+	defer cancel()
+	if r.Home {
+		return c.keep(ctx, j)
+	}
+	return c.place(ctx, j)
+}
+
+// forward sends a request to another instance with the time that is left.
+func (c *Carrier) forward(ctx context.Context, j *job, to lacewingramp.Endpoint, change func(*lacewingramp.Carry)) (*lacewingramp.Answer, error) {
+	r := *j.Carry
+	r.Hops++
+	r.Home = false
+	r.Left = j.end.Sub(c.Timer.Now())
+	if r.Left <= 0 {
+		return nil, lacewingramp.Refuse(lacewingramp.CauseDeadline, "no time left")
+	}
+	change(&r)
+	c.stats.Hops.Add(1)
+	a, err := c.Peer.Carry(ctx, to.Peer, &r)
+	if err != nil {
+		return nil, err
+	}
+	if a.ID != j.ID {
+		return nil, &lacewingramp.Refusal{
+			Verdict: lacewingramp.MayHaveRun, Cause: lacewingramp.CausePeer, Detail: "the answer belongs to another request",
+		}
+	}
+	if a.Refusal != nil {
+		return nil, a.Refusal
+	}
+	return a, nil
+}
--- /dev/null
+++ b/internal/entry/instance/instance_split.go
@@ -0,0 +1,73 @@
+package instance
+
+import (
+	"time"
+
+	"lacewingramp.example/lacewingramp/internal/limit/holding"
+	"lacewingramp.example/lacewingramp/internal/limit/quota"
+)
+
+// split brings the domain's key to the Table's weights in two steps: down to
+// what both splits allow, once every live sibling has the Table and no loan
+// of the larger part can be in use; and up to the whole part, once the keys
+// of all other domains show that they have come down.
+func (i *Instance) split(h holding.Holding) {
+	t := i.State.Index().Table
+	next, ok := holding.Split(t)[i.State.Self.Domain]
+	if !ok {
+		next = quota.Part{Region: h.Part.Region}
+	}
+	if h.Split < t.Split {
+		if !i.siblingsHave(t.Revision) {
+			return
+		}
+		i.writeHolding(func(h *holding.Holding) bool {
+			if h.Split >= t.Split {
+				return false
+			}
+			h.Part, h.Split = holding.Shrink(h.Part, next), t.Split
+			return true
+		})
+		return
+	}
+	if h.Part == next {
+		return
+	}
+	others, ok := i.allHoldings()
+	if !ok || !holding.MayGrow(t.Split, h.Domain, others) {
+		return
+	}
+	i.writeHolding(func(h *holding.Holding) bool {
+		if h.Split != t.Split || h.Part == next {
+			return false
+		}
+		h.Part = next
+		return true
+	})
+}
+
+// siblingsHave reports whether every live instance of the domain has had a
+// revision for longer than a loan lasts.
+func (i *Instance) siblingsHave(revision int64) bool {
+	now := i.Timer.Now()
+	i.State.Lock()
+	for _, m := range i.State.Roster.Domain(i.State.Self.Domain) {
+		if !m.Gone && !m.Failed && m.Digest.Revision < revision {
+			i.State.Unlock()
+			return false
+		}
+	}
+	i.State.Unlock()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.agreed.revision != revision {
+		i.agreed = agreement{revision: revision, since: now}
+	}
+	return now.Sub(i.agreed.since) > quota.Term+quota.Margin
+}
+
+// agreement is since when all live siblings have had a revision.
+type agreement struct {
+	revision int64
+	since    time.Time
+}
--- /dev/null
+++ b/internal/entry/state/state.go
@@ -0,0 +1,120 @@
+// Package state holds what an instance decides from, behind one mutex.
+//
+// The parts are pure and not safe for more than one goroutine. Whoever uses
+// them holds the mutex, for a few microseconds and never across a call to the
+// network or the store.
+//
+// # Usage
+//
+//	s.Lock()
+//	err := s.Quota.Take(timer.Now(), subject)
+//	s.Unlock()
+package state
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/call/poison"
+	"lacewingramp.example/lacewingramp/internal/call/record"
+	"lacewingramp.example/lacewingramp/internal/config/index"
+	"lacewingramp.example/lacewingramp/internal/limit/holding"
+	"lacewingramp.example/lacewingramp/internal/limit/quota"
+	"lacewingramp.example/lacewingramp/internal/peer/roster"
+	"lacewingramp.example/lacewingramp/internal/steer/region"
+	"lacewingramp.example/lacewingramp/internal/steer/slot"
+)
+
+// State is what an instance decides from.
+type State struct {
+	sync.Mutex
+
+	Self    lacewingramp.Endpoint
+	Region  string
+	Quota   *quota.Book
+	Pool    *slot.Pool
+	Records record.Book
+	Ward    poison.Ward
+	Roster  *roster.Roster
+	Guide   *region.Guide
+	Claims  map[int]int64
+	Holding holding.Holding
+	// Known is set once Holding has been read.
+	Known bool
+	// Confirmed is when the Table was last known to be the newest.
+	Confirmed time.Time
+
+	index atomic.Pointer[index.Index]
+}
+
+// New returns the State of an instance that has no Table yet.
+func New(self lacewingramp.Endpoint, seeds []string, seed uint64) *State {
+	return &State{
+		Self:   self,
+		Quota:  quota.NewBook(self.Name),
+		Pool:   slot.NewPool(seed),
+		Ward:   poison.Ward{Instance: self.Name},
+		Roster: roster.New(self, seeds),
+		Guide:  region.NewGuide(self.Domain),
+		Claims: make(map[int]int64),
+	}
+}
+
+// Index returns the Table in force, or nil before the first. It needs no lock.
+func (s *State) Index() *index.Index {
+	return s.index.Load()
+}
+
+// Apply takes a Table into force. It needs the lock and returns the waiting
+// requests that can now run.
+func (s *State) Apply(now time.Time, x *index.Index) []slot.Grant {
+	s.index.Store(x)
+	if d, ok := x.Domain(s.Self.Domain); ok {
+		s.Region = d.Region
+	}
+	s.Reconfigure(now)
+	s.Guide.Configure(x.Table)
+	s.Pool.Configure(now, x.Targets(s.Self.Domain))
+	return s.Pool.Tick(now)
+}
+
+// Reconfigure works out the quota again after the Table or the Holding has
+// changed. While the domain's key is of an older split, the domain uses no
+// more than both splits allow.
+func (s *State) Reconfigure(now time.Time) {
+	x := s.Index()
+	if x == nil {
+		return
+	}
+	part := quota.Part{Region: s.Region}
+	if s.Known {
+		part = s.Holding.Part
+		if s.Holding.Split < x.Table.Split {
+			part = holding.Shrink(part, holding.Split(x.Table)[s.Self.Domain])
+		}
+	}
+	s.Quota.Configure(now, x.Quota(s.Region, part))
+}
+
+// Hold takes a shard into use. It needs the lock.
+func (s *State) Hold(now time.Time, shard int, epoch int64, h lacewingramp.Handed) []slot.Grant {
+	s.Claims[shard] = epoch
+	s.Quota.Hold(now, shard, h.Levels)
+	s.Records.Hold(shard, h.Since, h.Notes)
+	return s.Pool.Hold(now, shard)
+}
+
+// Forfeit drops a shard that another instance has taken. It needs the lock.
+func (s *State) Forfeit(shard int) {
+	delete(s.Claims, shard)
+	s.Records.Drop(shard)
+	s.Pool.Forfeit(shard)
+}
+
+// Holds reports whether the instance holds a shard. It needs the lock.
+func (s *State) Holds(shard int) bool {
+	_, ok := s.Claims[shard]
+	return ok
+}
--- /dev/null
+++ b/internal/limit/quota/bucket.go
@@ -0,0 +1,155 @@
+package quota
+
+import (
+	"math"
+	"time"
+
+	"lacewingramp.example/lacewingramp"
+)
+
+// demandDecay is the time in which an old measure of demand loses most of
+// its weight.
+const demandDecay = time.Second
+
+// bucket is all that an instance has of one limit: its own parcels and the
+// borrowed ones, joined into one level.
+type bucket struct {
+	limit    lacewingramp.Limit
+	own      lacewingramp.Parcel
+	owed     lacewingramp.Parcel
+	level    float64
+	at       time.Time
+	lent     []lent
+	borrowed []borrowed
+	rate     lacewingramp.Units
+	burst    lacewingramp.Units
+	offered  float64
+	demand   float64
+	measured time.Time
+	waiting  int
+}
+
+type lent struct {
+	id     lacewingramp.LoanID
+	parcel lacewingramp.Parcel
+	until  time.Time
+}
+
+type borrowed struct {
+	id     lacewingramp.LoanID
+	lender string
+	parcel lacewingramp.Parcel
+	until  time.Time
+}
+
+func (k *bucket) perSecond() float64 {
+	return (k.own.Rate + k.rate).Of(k.limit.Rate)
+}
+
+func (k *bucket) capacity() float64 {
+	return (k.own.Burst + k.burst).Of(k.limit.Burst)
+}
+
+// accrue brings the level up to now.
+func (k *bucket) accrue(now time.Time) {
+	if len(k.borrowed) > 0 {
+		k.expireBorrowed(now)
+	}
+	k.flow(now)
+}
+
+func (k *bucket) flow(now time.Time) {
+	d := now.Sub(k.at)
+	if d <= 0 {
+		return
+	}
+	k.at = now
+	k.level = math.Min(k.level+k.perSecond()*d.Seconds(), k.capacity())
+}
+
+func (k *bucket) clamp() {
+	k.level = math.Max(0, math.Min(k.level, k.capacity()))
+}
+
+// expireBorrowed ends the loans whose term has passed, each at its own time.
+func (k *bucket) expireBorrowed(now time.Time) {
+	kept := k.borrowed[:0]
+	for _, l := range k.borrowed {
+		if now.Before(l.until) {
+			kept = append(kept, l)
+			continue
+		}
+		k.flow(l.until)
+		k.rate -= l.parcel.Rate
+		k.burst -= l.parcel.Burst
+		k.clamp()
+	}
+	k.borrowed = kept
+}
+
+// expire takes back the loans that are over, and ends the borrowed ones.
+func (k *bucket) expire(now time.Time) {
+	k.accrue(now)
+	kept := k.lent[:0]
+	for _, l := range k.lent {
+		if now.Before(l.until) {
+			kept = append(kept, l)
+			continue
+		}
+		k.rejoin(l.parcel)
+	}
+	k.lent = kept
+}
+
+// rejoin adds a parcel to what the instance owns, less what it owes.
+func (k *bucket) rejoin(p lacewingramp.Parcel) {
+	rate := min(p.Rate, k.owed.Rate)
+	burst := min(p.Burst, k.owed.Burst)
+	k.owed.Rate -= rate
+	k.owed.Burst -= burst
+	k.own.Rate += p.Rate - rate
+	k.own.Burst += p.Burst - burst
+	k.level += p.Level
+	k.clamp()
+}
+
+func (k *bucket) gain(u lacewingramp.Units) {
+	k.rejoin(lacewingramp.Parcel{Rate: u, Burst: u})
+}
+
+// lose gives up u units, from loans as they come back where the instance's
+// own do not suffice.
+func (k *bucket) lose(u lacewingramp.Units) {
+	rate := min(u, k.own.Rate)
+	burst := min(u, k.own.Burst)
+	k.own.Rate -= rate
+	k.own.Burst -= burst
+	k.owed.Rate += u - rate
+	k.owed.Burst += u - burst
+	k.clamp()
+}
+
+// split takes a parcel off the instance's own part, with as much of the level
+// as asked for and no more than the parcel can hold.
+func (k *bucket) split(rate, burst lacewingramp.Units, tokens float64) lacewingramp.Parcel {
+	p := lacewingramp.Parcel{Rate: rate, Burst: burst}
+	p.Level = math.Max(0, math.Min(tokens, math.Min(k.level, burst.Of(k.limit.Burst))))
+	k.own.Rate -= rate
+	k.own.Burst -= burst
+	k.level -= p.Level
+	k.clamp()
+	return p
+}
+
+// measure folds what was offered since the last call into the demand.
+func (k *bucket) measure(now time.Time) {
+	d := now.Sub(k.measured)
+	if k.measured.IsZero() || d <= 0 {
+		k.measured = now
+		return
+	}
+	w := 1 - math.Exp(-d.Seconds()/demandDecay.Seconds())
+	k.demand += w * (k.offered/d.Seconds() - k.demand)
+	k.offered = 0
+	k.measured = now
+}
--- /dev/null
+++ b/internal/operator/command/cmd_table_diff.go
@@ -0,0 +1,37 @@
+package command
+
+import (
+	"fmt"
+
+	"lacewingramp.example/lacewingramp/internal/config/sheet"
+)
+
+// cmdTableDiff shows what a table file would change.
+type cmdTableDiff struct {
+	output
+	storeOptions
+	fileArgument
+}
+
+// Execute runs the command.
+func (c *cmdTableDiff) Execute([]string) error {
+	next, err := c.read()
+	if err != nil {
+		return err
+	}
+	l, ctx, cancel := c.ledger()
+	defer cancel()
+	current, err := l.Get(ctx)
+	if err != nil {
+		return err
+	}
+	lines, err := sheet.Diff(current, next)
+	if err != nil {
+		return err
+	}
+	for _, line := range lines {
+		_, _ = fmt.Fprintln(c.out, line)
+	}
+	_, err = fmt.Fprintf(c.out, "base %d, %d rows differ\n", current.Revision, len(lines))
+	return err
+}
--- /dev/null
+++ b/internal/operator/command/cmd_table_get.go
@@ -0,0 +1,25 @@
+package command
+
+import (
+	"fmt"
+
+	"lacewingramp.example/lacewingramp/internal/config/sheet"
+)
+
+// cmdTableGet prints the committed table as CSV.
+type cmdTableGet struct {
+	output
+	storeOptions
+}
+
+// Execute runs the command.
+func (c *cmdTableGet) Execute([]string) error {
+	l, ctx, cancel := c.ledger()
+	defer cancel()
+	t, err := l.Get(ctx)
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(c.err, "revision %d by %s\n", t.Revision, t.Operator)
+	return sheet.Encode(c.out, t)
+}
--- /dev/null
+++ b/internal/operator/command/cmd_table_log.go
@@ -0,0 +1,29 @@
+package command
+
+import (
+	"fmt"
+	"time"
+)
+
+// cmdTableLog prints the audit trail of edits.
+type cmdTableLog struct {
+	output
+	storeOptions
+}
+
+// Execute runs the command.
+func (c *cmdTableLog) Execute([]string) error {
+	l, ctx, cancel := c.ledger()
+	defer cancel()
+	t, err := l.Get(ctx)
+	if err != nil || t.History == nil {
+		return err
+	}
+	for _, e := range t.History.Edits {
+		_, _ = fmt.Fprintf(c.out, "revision %d  %s  %s  edit %s\n", e.Revision, e.Moment.Format(time.RFC3339), e.Operator, e.Edit)
+		for _, line := range e.Lines {
+			_, _ = fmt.Fprintln(c.out, "  "+line)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/operator/command/cmd_table_put.go
@@ -0,0 +1,34 @@
+package command
+
+import (
+	"fmt"
+	"time"
+
+	"lacewingramp.example/lacewingramp/internal/config/ledger"
+)
+
+// cmdTablePut commits a table file.
+type cmdTablePut struct {
+	output
+	storeOptions
+	operatorOptions
+	fileArgument
+
+	Base int64 `long:"base" env:"LACEWINGRAMP_BASE" default:"-1" description:"revision that the edit began from, as printed by table get or diff; -1 for whatever is current"`
+}
+
+// Execute runs the command.
+func (c *cmdTablePut) Execute([]string) error {
+	next, err := c.read()
+	if err != nil {
+		return err
+	}
+	l, ctx, cancel := c.ledger()
+	defer cancel()
+	t, err := l.Put(ctx, next, ledger.Commit{Operator: c.Operator, Base: c.Base, Moment: time.Now()})
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(c.out, "revision %d committed, edit %s\n", t.Revision, t.Edit)
+	return err
+}
--- /dev/null
+++ b/internal/peer/link/link_client.go
@@ -0,0 +1,191 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	"lacewingramp.example/lacewingramp"
+)
+
+// Client is a lacewingramp.Peer over gRPC. Its zero value is ready for peers
+// without TLS, and safe for use by many goroutines.
+type Client struct {
+	// TLS is the configuration of connections, or nil.
+	TLS *tls.Config
+
+	mu          sync.Mutex
+	connections map[string]*connection
+}
+
+// connection counts the bytes that pass through it.
+type connection struct {
+	*grpc.ClientConn
+}
+
+const reconnectDelay = 200 * time.Millisecond
+
+func (c *Client) dial(address string) (*connection, error) {
+	creds := insecure.NewCredentials()
+	if c.TLS != nil {
+		creds = credentials.NewTLS(c.TLS)
+	}
+	b := backoff.Config{BaseDelay: reconnectDelay, Multiplier: 1, MaxDelay: reconnectDelay}
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(creds),
+		grpc.WithDefaultCallOptions(grpc.ForceCodec(theCodec), grpc.MaxCallRecvMsgSize(MaxMessageBytes)),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: b, MinConnectTimeout: time.Second}),
+		grpc.WithContextDialer(func(ctx context.Context, a string) (net.Conn, error) {
+			var d net.Dialer
+			return d.DialContext(ctx, "tcp", a)
+		}),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDisableRetry(),
+	)
+	if err != nil {
+		return nil, err
+	}
+	return &connection{ClientConn: conn}, nil
+}
+
+func (c *Client) connection(address string) (*connection, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn, ok := c.connections[address]; ok {
+		return conn, nil
+	}
+	conn, err := c.dial(address)
+	if err != nil {
+		return nil, err
+	}
+	if c.connections == nil {
+		c.connections = make(map[string]*connection)
+	}
+	c.connections[address] = conn
+	return conn, nil
+}
+
+// reset ends a connection, so that the next call opens a fresh one.
+func (c *Client) reset(address string, conn *connection) {
+	c.mu.Lock()
+	if c.connections[address] == conn {
+		delete(c.connections, address)
+	}
+	c.mu.Unlock()
+	_ = conn.Close()
+}
+
+// Close ends every connection.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for a, conn := range c.connections {
+		_ = conn.Close()
+		delete(c.connections, a)
+	}
+}
+
+func invoke[O any](ctx context.Context, conn *connection, name string, in any) (*O, error) {
+	out := new(O)
+	if err := conn.Invoke(ctx, "/"+serviceName+"/"+name, in, out); err != nil {
+		return nil, err
+	}
+	return out, nil
+}
+
+func call[O any](ctx context.Context, c *Client, address, name string, in any) (*O, error) {
+	conn, err := c.connection(address)
+	if err != nil {
+		return nil, err
+	}
+	return invoke[O](ctx, conn, name, in)
+}
+
+// Beat exchanges digests. Without an answer the connection is ended.
+func (c *Client) Beat(ctx context.Context, address string, d *lacewingramp.Digest) (*lacewingramp.Digest, error) {
+	conn, err := c.connection(address)
+	if err != nil {
+		return nil, err
+	}
+	out, err := invoke[lacewingramp.Digest](ctx, conn, "Beat", d)
+	if err != nil {
+		c.reset(address, conn)
+	}
+	return out, err
+}
+
+// Table fetches the other instance's Table.
+func (c *Client) Table(ctx context.Context, address string) (*lacewingramp.Table, error) {
+	return call[lacewingramp.Table](ctx, c, address, "Table", &Empty{})
+}
+
+// Lend asks for a loan.
+func (c *Client) Lend(ctx context.Context, address string, a *lacewingramp.Ask) (*lacewingramp.Loan, error) {
+	return call[lacewingramp.Loan](ctx, c, address, "Lend", a)
+}
+
+// GiveBack ends a loan before its term.
+func (c *Client) GiveBack(ctx context.Context, address string, r *lacewingramp.Return) error {
+	_, err := call[Empty](ctx, c, address, "GiveBack", r)
+	return err
+}
+
+// Give asks for a shard or offers one.
+func (c *Client) Give(ctx context.Context, address string, g *lacewingramp.Give) (*lacewingramp.Handed, error) {
+	return call[lacewingramp.Handed](ctx, c, address, "Give", g)
+}
+
+// Carry has a request run by the other instance. A call that could not leave
+// this instance ends in a Refusal with the verdict NotRun.
+func (c *Client) Carry(ctx context.Context, address string, r *lacewingramp.Carry) (*lacewingramp.Answer, error) {
+	out, err := call[lacewingramp.Answer](ctx, c, address, "Carry", r)
+	if err == nil {
+		return out, nil
+	}
+	refusal := &lacewingramp.Refusal{
+		Verdict: lacewingramp.MayHaveRun, Cause: lacewingramp.CausePeer, Detail: status.Code(err).String(),
+	}
+	if neverSent(err) {
+		refusal.Verdict = lacewingramp.NotRun
+	}
+	return nil, refusal
+}
+
+// neverSent reports an error after which the other instance has not seen the
+// request: its message did not decode there, or no connection came about.
+func neverSent(err error) bool {
+	s := status.Convert(err)
+	switch s.Code() {
+	case codes.Unimplemented, codes.ResourceExhausted:
+		return true
+	case codes.Unavailable:
+		return isDialText(s.Message())
+	default:
+		return false
+	}
+}
+
+// Probe opens a fresh connection and asks for the instance's name.
+func (c *Client) Probe(ctx context.Context, address, name string) (gone bool, err error) {
+	conn, err := c.dial(address)
+	if err != nil {
+		return false, err
+	}
+	defer func() { _ = conn.Close() }()
+	n, err := invoke[Name](ctx, conn, "Name", &Empty{})
+	if err != nil {
+		return false, err
+	}
+	return n.Name != name, nil
+}
+
+var _ lacewingramp.Peer = (*Client)(nil)
--- /dev/null
+++ b/internal/report/page/page.go
@@ -0,0 +1,213 @@
+// Package page is what an instance reports to operators, as JSON and as text.
+//
+// # Usage
+//
+//	p := page.Of(instance)
+//	p.WriteText(os.Stdout)
+package page
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/entry/instance"
+	"lacewingramp.example/lacewingramp/internal/limit/quota"
+	"lacewingramp.example/lacewingramp/internal/report/tally"
+)
+
+// Page is the report of one instance.
+type Page struct {
+	Instance    string                `json:"instance"`
+	Domain      string                `json:"domain"`
+	Life        string                `json:"life"`
+	Revision    int64                 `json:"revision"`
+	Unconfirmed lacewingramp.Duration `json:"unconfirmed"`
+	Suspended   bool                  `json:"suspended"`
+	Shards      []int                 `json:"shards"`
+	Instances   []Known               `json:"instances"`
+	Limits      []quota.Stock         `json:"limits"`
+	Rooms       []lacewingramp.Room   `json:"rooms"`
+	Caps        []Cap                 `json:"caps"`
+	Requests    []tally.Row           `json:"requests"`
+	Work        Work                  `json:"work"`
+	Faults      Faults                `json:"faults"`
+}
+
+// Known is another instance as this one sees it.
+type Known struct {
+	Instance string                `json:"instance"`
+	Domain   string                `json:"domain"`
+	Revision int64                 `json:"revision"`
+	Age      lacewingramp.Duration `json:"age"`
+	Live     bool                  `json:"live"`
+	Leaving  bool                  `json:"leaving"`
+	Shards   int                   `json:"shards"`
+}
+
+// Cap is a cap of the instance's region: whether it holds, this instance's
+// part of it, and how many requests run against it here.
+type Cap struct {
+	Name    string `json:"name"`
+	Holds   bool   `json:"holds"`
+	Allowed int    `json:"allowed"`
+	Running int    `json:"running"`
+	Worst   int    `json:"worst"`
+}
+
+// Work counts what the instance has done.
+type Work struct {
+	Attempts int64 `json:"attempts"`
+	Retries  int64 `json:"retries"`
+	Hops     int64 `json:"hops"`
+	Queued   int64 `json:"queued"`
+	Waited   int64 `json:"waited"`
+	Deaths   int64 `json:"deaths"`
+}
+
+// Faults counts what operators should know of.
+type Faults struct {
+	Older    int64 `json:"older"`
+	Bad      int64 `json:"bad"`
+	Pauses   int64 `json:"pauses"`
+	Forfeits int64 `json:"forfeits"`
+	Store    int64 `json:"store"`
+}
+
+// Of makes the report of an instance.
+func Of(i *instance.Instance) Page {
+	now := i.Timer.Now()
+	s := i.State
+	p := Page{
+		Instance: s.Self.Name, Domain: s.Self.Domain, Life: string(i.Life()),
+		Requests: i.Tally.Rows(), Work: workOf(i), Faults: faultsOf(i),
+	}
+	s.Lock()
+	defer s.Unlock()
+	p.Unconfirmed = round(now.Sub(s.Confirmed))
+	p.Suspended = s.Quota.Suspended(now)
+	p.Shards = s.Quota.Held()
+	p.Rooms = s.Pool.Rooms(now)
+	for _, m := range s.Roster.Members() {
+		p.Instances = append(p.Instances, Known{
+			Instance: m.Digest.Name, Domain: m.Digest.Domain, Revision: m.Digest.Revision,
+			Age: round(now.Sub(m.Heard)), Live: m.Live(now), Leaving: m.Digest.Leaving, Shards: len(m.Digest.Claims),
+		})
+	}
+	x := s.Index()
+	if x == nil {
+		return p
+	}
+	p.Revision = x.Table.Revision
+	for _, u := range x.Table.Customers {
+		p.Limits = append(p.Limits, s.Quota.Stock(lacewingramp.Subject{Kind: lacewingramp.SubjectCustomer, Name: u.Name}))
+	}
+	for _, c := range i.Carrier.Caps(now) {
+		p.Caps = append(p.Caps, Cap(c))
+	}
+	return p
+}
+
+func round(d time.Duration) lacewingramp.Duration {
+	return lacewingramp.Duration(d.Round(time.Millisecond))
+}
+
+func workOf(i *instance.Instance) Work {
+	s := i.Carrier.Stats()
+	return Work{
+		Attempts: s.Attempts.Load(), Retries: s.Retries.Load(), Hops: s.Hops.Load(),
+		Queued: s.Queued.Load(), Waited: s.Waited.Load(), Deaths: s.Deaths.Load(),
+	}
+}
+
+func faultsOf(i *instance.Instance) Faults {
+	f := i.Faults()
+	return Faults{
+		Older: f.Older.Load(), Bad: f.Bad.Load(), Pauses: f.Pauses.Load(),
+		Forfeits: f.Forfeits.Load(), Store: f.Store.Load(),
+	}
+}
+
+// WriteText writes the report for reading in 80 columns.
+func (p *Page) WriteText(w io.Writer) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "instance %s  domain %s  %s  revision %d\n", p.Instance, p.Domain, p.Life, p.Revision)
+	fmt.Fprintf(&b, "table confirmed %s ago  shards %d of %d", time.Duration(p.Unconfirmed), len(p.Shards), quota.Shards)
+	if p.Suspended {
+		b.WriteString("  suspended after a pause")
+	}
+	b.WriteString("\n")
+	p.writeInstances(&b)
+	p.writeLimits(&b)
+	p.writeRegion(&b)
+	p.writeRequests(&b)
+	fmt.Fprintf(&b, "\nwork     attempts %d  retries %d  hops %d  queued %d  waited %d  deaths %d\n",
+		p.Work.Attempts, p.Work.Retries, p.Work.Hops, p.Work.Queued, p.Work.Waited, p.Work.Deaths)
+	fmt.Fprintf(&b, "faults   older tables %d  bad tables %d  pauses %d  forfeits %d  store %d\n",
+		p.Faults.Older, p.Faults.Bad, p.Faults.Pauses, p.Faults.Forfeits, p.Faults.Store)
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func (p *Page) writeInstances(b *strings.Builder) {
+	fmt.Fprintf(b, "\n%-28s %-10s %9s %8s %7s  %s\n", "instance", "domain", "revision", "heard", "shards", "state")
+	for _, k := range p.Instances {
+		state := "live"
+		if !k.Live {
+			state = "silent"
+		}
+		if k.Leaving {
+			state = "leaving"
+		}
+		fmt.Fprintf(b, "%-28s %-10s %9d %8s %7d  %s\n", k.Instance, k.Domain, k.Revision, time.Duration(k.Age), k.Shards, state)
+	}
+}
+
+func (p *Page) writeLimits(b *strings.Builder) {
+	fmt.Fprintf(b, "\n%-28s %9s %9s %9s %6s %8s\n", "customer", "share", "level", "demand", "lent", "borrowed")
+	for _, l := range p.Limits {
+		share := float64(l.Own.Rate) / float64(lacewingramp.Whole)
+		fmt.Fprintf(b, "%-28s %8.2f%% %9.1f %7.1f/s %6d %8d\n", l.Subject.Name, share*100, l.Level, l.Demand, l.Lent, l.Borrowed)
+	}
+}
+
+func (p *Page) writeRegion(b *strings.Builder) {
+	fmt.Fprintf(b, "\n%-28s %9s %9s %9s\n", "service", "slots", "free", "waiting")
+	for _, r := range p.Rooms {
+		fmt.Fprintf(b, "%-28s %9d %9d %9d\n", r.Service, r.Slots, r.Free, r.Waiting)
+	}
+	for _, c := range p.Caps {
+		state := "not in force"
+		if c.Holds {
+			state = "in force"
+		}
+		fmt.Fprintf(b, "cap %-24s %s, %d of %d running here, %d at worst\n", c.Name, state, c.Running, c.Allowed, c.Worst)
+	}
+}
+
+func (p *Page) writeRequests(b *strings.Builder) {
+	fmt.Fprintf(b, "\n%-16s %-14s %8s %7s %9s %9s  %s\n", "customer", "route", "ran", "unclear", "p50", "p99", "not run")
+	for _, r := range p.Requests {
+		fmt.Fprintf(b, "%-16s %-14s %8d %7d %9s %9s  %s\n", orDash(r.Customer), orDash(r.Route), r.Ran, r.Unclear,
+			time.Duration(r.P50).Round(time.Microsecond), time.Duration(r.P99).Round(time.Microsecond), refusedText(r.Refused))
+	}
+}
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+func refusedText(all map[lacewingramp.Cause]int64) string {
+	parts := make([]string, 0, len(all))
+	for c, n := range all {
+		parts = append(parts, fmt.Sprintf("%s %d", c, n))
+	}
+	sort.Strings(parts)
+	return strings.Join(parts, ", ")
+}
