Prove the quota's invariant with random fleets

Cause: quota is the heart of the promise that no customer gets more than its rate and burst, and nothing yet tried to break it.

Change: a property test drives Books through joins, deaths, pauses, lost, late and doubled messages, hand-overs, take-overs and table edits, and holds every admission against one bucket of the whole limit, which runs below zero exactly if some window admits more than rate x window + burst. The units and the usable parcels of the fleet are summed after every step.

Conclusion: the parcel rules hold; the bound is exact up to 1e-6 tokens.

--- /dev/null
+++ b/internal/limit/quota/quota_test.go
@@ -0,0 +1,158 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"lacewingramp.example/lacewingramp"
+)
+
+// slack allows for the rounding of floating point sums.
+const slack = -1e-6
+
+func drawTransit(t *rapid.T) transit {
+	return transit{
+		delay: time.Duration(rapid.IntRange(0, 4000).Draw(t, "delay")) * time.Millisecond,
+		lost:  rapid.IntRange(0, 5).Draw(t, "lost") == 0,
+		twice: rapid.IntRange(0, 5).Draw(t, "twice") == 0,
+	}
+}
+
+// actions are everything that can happen to a fleet.
+func actions(f *fleet) map[string]func(*rapid.T) {
+	node := func(t *rapid.T) *node { return rapid.SampledFrom(f.nodes).Draw(t, "node") }
+	return map[string]func(*rapid.T){
+		"advance": func(t *rapid.T) {
+			f.advance(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+		},
+		"take": func(t *rapid.T) { f.take(node(t), rapid.IntRange(1, 80).Draw(t, "count")) },
+		"drain": func(*rapid.T) {
+			for _, n := range f.nodes {
+				f.take(n, 200)
+			}
+		},
+		"borrow": func(t *rapid.T) {
+			need := Need{
+				Rate:   rapid.Float64Range(0, 200).Draw(t, "rate"),
+				Tokens: rapid.Float64Range(0, 100).Draw(t, "tokens"),
+			}
+			f.borrow(node(t), node(t), need, drawTransit(t), drawTransit(t))
+		},
+		"return": func(t *rapid.T) { f.giveBack(node(t), drawTransit(t)) },
+		"hand": func(t *rapid.T) {
+			n := node(t)
+			f.hand(n.domain, rapid.IntRange(0, Shards-1).Draw(t, "shard"), n, drawTransit(t))
+		},
+		"join": func(t *rapid.T) {
+			if len(f.nodes) < 12 {
+				f.join(rapid.IntRange(0, len(f.parts)-1).Draw(t, "domain"))
+			}
+		},
+		"kill": func(t *rapid.T) {
+			if n := node(t); !n.dead {
+				n.dead, n.killed = true, f.now
+			}
+		},
+		"pause": func(t *rapid.T) {
+			n := node(t)
+			if f.running(n) {
+				n.killed = f.now
+				n.paused = f.now.Add(time.Duration(rapid.IntRange(10, 15000).Draw(t, "pause")) * time.Millisecond)
+			}
+		},
+		"inherit": func(t *rapid.T) { f.inherit(node(t)) },
+		"resume":  func(t *rapid.T) { f.resume(node(t)) },
+	}
+}
+
+var _ = ginkgo.Describe("the quota of a fleet", func() {
+	ginkgo.It("never admits more than rate × window + burst", func() {
+		rapid.Check(ginkgo.GinkgoT(), func(t *rapid.T) {
+			f := newFleet(rapid.IntRange(1, 3).Draw(t, "domains"), rapid.IntRange(1, 3).Draw(t, "each"),
+				lacewingramp.Limit{Rate: 100, Burst: 60})
+			all := actions(f)
+			all[""] = func(t *rapid.T) {
+				if f.worst < slack {
+					t.Fatalf("admitted %g more than the limit", -f.worst)
+				}
+				if u := f.units(); u > lacewingramp.Whole {
+					t.Fatalf("the parcels add up to %d of %d", u, lacewingramp.Whole)
+				}
+				if p := f.usable(); p.Rate > lacewingramp.Whole || p.Burst > lacewingramp.Whole {
+					t.Fatalf("rate %d and burst %d are in use of %d", p.Rate, p.Burst, lacewingramp.Whole)
+				}
+			}
+			t.Repeat(all)
+		})
+	})
+
+	ginkgo.It("keeps to the larger of two limits while an edit spreads", func() {
+		rapid.Check(ginkgo.GinkgoT(), func(t *rapid.T) {
+			f := newFleet(2, 2, lacewingramp.Limit{Rate: 100, Burst: 60})
+			all := actions(f)
+			all["edit"] = func(t *rapid.T) {
+				l := lacewingramp.Limit{
+					Rate:  rapid.Float64Range(1, 100).Draw(t, "rate"),
+					Burst: rapid.Float64Range(1, 60).Draw(t, "burst"),
+				}
+				n := rapid.SampledFrom(f.nodes).Draw(t, "node")
+				if f.running(n) {
+					n.book.Configure(f.now, f.config(n.domain, l))
+				}
+			}
+			all[""] = func(t *rapid.T) {
+				if f.worst < slack {
+					t.Fatalf("admitted %g more than the limit", -f.worst)
+				}
+			}
+			t.Repeat(all)
+		})
+	})
+
+	ginkgo.It("shrinks a part at once, from loans as they come back", func() {
+		f := newFleet(1, 2, lacewingramp.Limit{Rate: 100, Burst: 60})
+		a, b := f.nodes[0], f.nodes[1]
+		f.advance(time.Second)
+		f.borrow(b, a, Need{Rate: 80, Tokens: 40}, transit{}, transit{})
+		f.advance(100 * time.Millisecond)
+		gomega.Expect(b.book.Stock(subject).Borrowed).To(gomega.Equal(1))
+		f.parts[0].Customers /= 4
+		a.book.Configure(f.now, f.config(0, f.limit))
+		f.advance(5 * time.Second)
+		gomega.Expect(f.units()).To(gomega.Equal(lacewingramp.Whole / 4))
+	})
+
+	ginkgo.It("admits a whole burst that meets one instance, once it has borrowed", func() {
+		f := newFleet(3, 2, lacewingramp.Limit{Rate: 120, Burst: 60})
+		f.advance(10 * time.Second)
+		one := f.nodes[1]
+		one.book.Wait(subject, 50)
+		for _, n := range f.nodes {
+			if n != one {
+				f.borrow(one, n, Need{Tokens: 20}, transit{}, transit{})
+			}
+		}
+		f.advance(200 * time.Millisecond)
+		one.book.Wait(subject, -50)
+		f.take(one, 50)
+		gomega.Expect(f.refused).To(gomega.BeZero())
+	})
+
+	ginkgo.It("admits nothing after a pause until its shards are confirmed", func() {
+		f := newFleet(1, 2, lacewingramp.Limit{Rate: 100, Burst: 60})
+		f.advance(5 * time.Second)
+		n := f.nodes[0]
+		n.killed = f.now
+		n.paused = f.now.Add(8 * time.Second)
+		f.advance(7 * time.Second)
+		f.inherit(f.nodes[1])
+		f.advance(2 * time.Second)
+		f.take(n, 10)
+		gomega.Expect(f.admitted).To(gomega.BeZero())
+		f.resume(n)
+		gomega.Expect(n.book.Held()).To(gomega.BeEmpty())
+	})
+})
