--- a/digest.go
+++ b/digest.go
@@ -117,6 +117,7 @@
 	Epoch  int64     `json:"epoch"`
 	Since  time.Time `json:"since"`
 	Levels []Level   `json:"levels,omitempty"`
+	Owed   []Owed    `json:"owed,omitempty"`
 	Notes  []Note    `json:"notes,omitempty"`
 }
 
--- /dev/null
+++ b/e2e/e2e_test.go
@@ -0,0 +1,186 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/operator/load"
+	"lacewingramp.example/lacewingramp/internal/platform/memory"
+)
+
+func (d *deployment) revisions() []int64 {
+	var all []int64
+	for _, e := range d.entries {
+		all = append(all, e.report().Revision)
+	}
+	return all
+}
+
+func (d *deployment) everywhere(revision int64) {
+	gomega.Eventually(d.revisions, patience, period).Should(gomega.HaveEach(revision))
+}
+
+func (d *deployment) load(part float64, length time.Duration) (*sync.WaitGroup, **load.Summary) {
+	var wait sync.WaitGroup
+	var summary *load.Summary
+	wait.Go(func() {
+		summary = load.Run(context.Background(), load.Plan{
+			Table: d.table, Entries: d.callers(), Keys: d.keys(),
+			Part: part, Duration: length, Most: 64, Seed: 1,
+		})
+	})
+	return &wait, &summary
+}
+
+func text(s *load.Summary) string {
+	var b strings.Builder
+	gomega.Expect(s.WriteText(&b)).To(gomega.Succeed())
+	return b.String()
+}
+
+var _ = ginkgo.Describe("a deployment", func() {
+	ginkgo.It("takes an edit into force everywhere and never goes back", func() {
+		d := deploy("uy1", "uy2", "cu1", "cu2")
+		d.table.Customers[0].Rate++
+		gomega.Expect(d.command("table", "put", d.write(d.table)).run()).To(gomega.Succeed())
+		d.everywhere(2)
+		for _, e := range d.entries {
+			for _, a := range e.audit() {
+				if a.Revision == 2 {
+					ginkgo.GinkgoWriter.Printf("%s: revision 2 in force after %s from %s\n", e.name, time.Duration(a.Delay), a.Source)
+				}
+			}
+		}
+		old := d.entries[0]
+		old.kill()
+		d.leave(old)
+		fresh := d.join(old.domain)
+		gomega.Consistently(func() int64 { return fresh.report().Revision }, 2*time.Second, period).Should(gomega.Or(gomega.BeZero(), gomega.Equal(int64(2))))
+		d.everywhere(2)
+		d.ready()
+	})
+
+	ginkgo.It("replaces an instance while the store is down", func() {
+		d := deploy("uy1", "uy1", "uy2")
+		d.faults(memory.Faults{Down: true})
+		old := d.entries[0]
+		old.kill()
+		d.leave(old)
+		fresh := d.join("uy1")
+		gomega.Eventually(func() int64 { return fresh.report().Revision }, patience, period).Should(gomega.Equal(int64(1)))
+		c := load.NewCaller(load.Identity{Customer: "andes-ski", Key: "demo-andes-ski", Domain: "uy1"}, []string{fresh.caller})
+		defer c.Close()
+		gomega.Eventually(func() lacewingramp.Verdict {
+			return c.Do(context.Background(), load.Request{Service: "recipes", Method: "GET", Path: "/recipes/7"}).Verdict
+		}, patience, period).Should(gomega.Equal(lacewingramp.Ran))
+		d.faults(memory.Faults{})
+		d.ready()
+	})
+
+	ginkgo.It("refuses a revoked key on a connection that stays open", func() {
+		d := deploy("uy1", "uy2")
+		client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+		status := func() int {
+			req, err := http.NewRequest(http.MethodGet, "http://"+d.entries[1].caller+"/recipes/7", nil)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			req.Header.Set("Authorization", "Bearer demo-refugio")
+			resp, err := client.Do(req)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(resp.Body.Close()).To(gomega.Succeed())
+			return resp.StatusCode
+		}
+		gomega.Expect(status()).To(gomega.Equal(http.StatusOK))
+		gomega.Expect(d.command("key", "revoke", "refugio-1").run()).To(gomega.Succeed())
+		begun := time.Now()
+		gomega.Eventually(status, patience, period).Should(gomega.Equal(http.StatusUnauthorized))
+		ginkgo.GinkgoWriter.Printf("revoked after %s\n", time.Since(begun))
+		gomega.Consistently(status, time.Second, period).Should(gomega.Equal(http.StatusUnauthorized))
+	})
+
+	ginkgo.It("cuts no request when every instance of a domain is replaced under load", func() {
+		d := deploy("uy1", "uy1", "uy2", "uy2")
+		wait, summary := d.load(0.2, 30*time.Second)
+		time.Sleep(time.Second)
+		for _, old := range []*entry{d.entries[0], d.entries[1]} {
+			fresh := d.join("uy1")
+			gomega.Eventually(func() string { return fresh.report().Life }, patience, period).Should(gomega.Equal("serving"))
+			old.signal(syscall.SIGTERM)
+			gomega.Eventually(old.done, patience, period).Should(gomega.Receive(gomega.BeNil()))
+			old.done <- nil
+			d.leave(old)
+		}
+		wait.Wait()
+		ginkgo.GinkgoWriter.Println(text(*summary))
+		for _, c := range (*summary).Counts {
+			gomega.Expect(c.Ran).To(gomega.Equal(c.Sent), c.Customer+" "+c.Route)
+		}
+		gomega.Expect((*summary).Wrong()).To(gomega.BeZero())
+		d.ready()
+	})
+
+	ginkgo.It("lets one of two racing operators win", func() {
+		d := deploy("uy1")
+		for n := range 5 {
+			base := fmt.Sprint(n + 1)
+			a, b := *d.table, *d.table
+			a.Customers = append([]lacewingramp.Customer(nil), d.table.Customers...)
+			b.Customers = append([]lacewingramp.Customer(nil), d.table.Customers...)
+			a.Customers[0].Rate = float64(100 + n)
+			b.Customers[0].Rate = float64(200 + n)
+			first := d.command("table", "put", "--base", base, d.write(&a))
+			second := d.command("table", "put", "--base", base, d.write(&b))
+			var wait sync.WaitGroup
+			var firstErr, secondErr error
+			wait.Go(func() { firstErr = first.run() })
+			wait.Go(func() { secondErr = second.run() })
+			wait.Wait()
+			gomega.Expect((firstErr == nil) != (secondErr == nil)).To(gomega.BeTrue(), "%v, %v", firstErr, secondErr)
+			d.everywhere(int64(n + 2))
+		}
+	})
+
+	ginkgo.It("settles an edit whose answer is lost", func() {
+		d := deploy("uy1")
+		d.faults(memory.Faults{Lost: 1})
+		d.table.Customers[0].Rate++
+		put := d.command("table", "put", "--timeout", "1s", d.write(d.table))
+		gomega.Expect(put.run()).To(gomega.Succeed())
+		gomega.Expect(revisionOf(put.out.String())).To(gomega.Equal("2"))
+		d.everywhere(2)
+	})
+
+	ginkgo.It("runs no order twice when instances are killed under load", func() {
+		d := deploy("uy1", "uy1", "uy2", "uy2")
+		wait, summary := d.load(0.3, 20*time.Second)
+		time.Sleep(3 * time.Second)
+		for _, old := range []*entry{d.entries[0], d.entries[2]} {
+			old.kill()
+			d.leave(old)
+			d.join(old.domain)
+			time.Sleep(4 * time.Second)
+		}
+		wait.Wait()
+		ginkgo.GinkgoWriter.Println(text(*summary))
+		runs := d.runs()
+		twice := 0
+		for _, n := range runs.Keys {
+			if n > 1 {
+				twice++
+			}
+		}
+		gomega.Expect(twice).To(gomega.BeZero())
+		gomega.Expect(len(runs.Keys)).To(gomega.BeNumerically(">", 0))
+		gomega.Expect((*summary).Wrong()).To(gomega.BeZero())
+		gomega.Expect(runs.Authorized).To(gomega.BeZero())
+		d.ready()
+	})
+})
--- a/internal/entry/carrier/once.go
+++ b/internal/entry/carrier/once.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"lacewingramp.example/lacewingramp"
 	"lacewingramp.example/lacewingramp/internal/call/poison"
@@ -11,20 +12,54 @@
 
 // once carries a request with an idempotency key to the instance that keeps
 // the key's record. Only that instance lets it run.
+//
+// While the shard of the record is on its way to another holder, the request
+// waits.
 func (c *Carrier) once(ctx context.Context, j *job) *lacewingramp.Answer {
 	key := record.Parse(j.Customer, j.Repeat, j.index.Table.Domains)
+	for {
+		a, err := c.toKeeper(ctx, j, key)
+		if err == nil {
+			return a
+		}
+		if !isHomeless(err) {
+			return refused(j.ID, err)
+		}
+		select {
+		case <-time.After(keeperPoll):
+		case <-ctx.Done():
+			return refused(j.ID, errHome(key.Domain))
+		}
+	}
+}
+
+// keeperPoll is how often a request looks for the holder of its record.
+const keeperPoll = 50 * time.Millisecond
+
+func (c *Carrier) toKeeper(ctx context.Context, j *job, key record.Key) (*lacewingramp.Answer, error) {
 	keeper, own, err := c.keeper(key)
 	if err != nil {
-		return refused(j.ID, err)
+		return nil, err
 	}
-	if own {
-		return c.keep(ctx, j)
+	if !own {
+		return c.forward(ctx, j, keeper, func(r *lacewingramp.Carry) { r.Home = true })
 	}
-	a, err := c.forward(ctx, j, keeper, func(r *lacewingramp.Carry) { r.Home = true })
-	if err != nil {
-		return refused(j.ID, err)
+	a := c.keep(ctx, j)
+	if a.Refusal != nil && isHomeless(a.Refusal) {
+		return nil, a.Refusal
 	}
-	return a
+	return a, nil
+}
+
+// errHomeless is the refusal of an instance that does not hold the record it
+// is asked for and knows of no other that does.
+var errHomeless = lacewingramp.Refuse(lacewingramp.CausePeer, "the holder of the record is not known")
+
+// isHomeless reports a refusal after which the holder of a record is to be
+// looked for again.
+func isHomeless(err error) bool {
+	r := lacewingramp.RefusalOf(err)
+	return r.Cause == lacewingramp.CausePeer && r.Verdict == lacewingramp.NotRun
 }
 
 // errHome is the refusal of a request whose record's home can not be reached.
@@ -60,7 +95,7 @@
 		}
 	}
 	if any == nil || key.Domain == c.State.Self.Domain {
-		return e, false, errHome(key.Domain)
+		return e, false, errHomeless
 	}
 	return *any, false, nil
 }
@@ -94,11 +129,11 @@
 
 func (c *Carrier) passOn(ctx context.Context, j *job, key record.Key) *lacewingramp.Answer {
 	if j.Hops >= lacewingramp.MaxHops {
-		return refused(j.ID, errHome(key.Domain))
+		return refused(j.ID, errHomeless)
 	}
 	keeper, own, err := c.keeper(key)
 	if err != nil || own {
-		return refused(j.ID, errHome(key.Domain))
+		return refused(j.ID, errHomeless)
 	}
 	a, err := c.forward(ctx, j, keeper, func(r *lacewingramp.Carry) { r.Home = true })
 	if err != nil {
--- a/internal/entry/carrier/quota.go
+++ b/internal/entry/carrier/quota.go
@@ -14,8 +14,9 @@
 	waitMost = time.Second
 	// waitPart is the part of the time left that it waits at most.
 	waitPart = 2
-	// waitersMost is how many requests of one customer wait.
-	waitersMost = 64
+	// waitersLeast is how many requests of one customer may wait. More may
+	// where the customer's rate brings more within waitMost.
+	waitersLeast = 64
 	// waitPoll is how often the first in line looks again.
 	waitPoll = 20 * time.Millisecond
 )
@@ -33,7 +34,7 @@
 	if err == nil || !isRate(err) {
 		return err
 	}
-	turn, ok := c.join(subject)
+	turn, ok := c.join(subject, max(waitersLeast, int(j.customer.Rate*waitMost.Seconds())))
 	if !ok {
 		return err
 	}
@@ -58,7 +59,7 @@
 	return c.State.Quota.Take(c.Timer.Now(), s)
 }
 
-func (c *Carrier) join(s lacewingramp.Subject) (chan struct{}, bool) {
+func (c *Carrier) join(s lacewingramp.Subject, most int) (chan struct{}, bool) {
 	c.State.Lock()
 	defer c.State.Unlock()
 	if c.lines == nil {
@@ -69,7 +70,7 @@
 		l = &line{}
 		c.lines[s] = l
 	}
-	if len(l.waiters) >= waitersMost {
+	if len(l.waiters) >= most {
 		return nil, false
 	}
 	turn := make(chan struct{}, 1)
--- a/internal/entry/front/front_steer.go
+++ b/internal/entry/front/front_steer.go
@@ -70,7 +70,8 @@
 	if a, err := netip.ParseAddr(v.Get("block")); err == nil {
 		q.Address = a.Unmap()
 	}
-	q.Caller = v.Get("customer") + "/" + q.Address.String()
+	q.Customer = v.Get("customer")
+	q.Caller = q.Customer + "/" + q.Address.String()
 	return q
 }
 
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -215,10 +215,12 @@
 	i.State.Lock()
 	suspended := i.State.Quota.Suspended(now)
 	i.State.Quota.Tick(now)
+	i.State.Quota.Peers(i.peers(now))
 	i.State.Roster.Tick(now)
 	i.Carrier.Wake(i.State.Pool.Tick(now))
 	needs := i.State.Quota.Needs(now)
 	back := i.State.Quota.Returns(now)
+	renewals := i.State.Quota.Renewals(now)
 	i.State.Unlock()
 	if suspended {
 		i.once("confirm", i.confirm)
@@ -226,6 +228,9 @@
 	for _, n := range needs {
 		i.Need(n.Subject)
 	}
+	for _, r := range renewals {
+		i.extend(r)
+	}
 	for _, g := range back {
 		i.giveBack(g)
 	}
--- a/internal/entry/instance/instance_beat.go
+++ b/internal/entry/instance/instance_beat.go
@@ -110,6 +110,7 @@
 	i.State.Lock()
 	i.State.Roster.Hear(now, d)
 	i.State.Ward.Merge(now, d.Marks)
+	i.State.Quota.Hear(d.Name, d.Spares)
 	revision := int64(0)
 	if x := i.State.Index(); x != nil {
 		revision = x.Table.Revision
--- a/internal/entry/instance/instance_loan.go
+++ b/internal/entry/instance/instance_loan.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sort"
 	"sync"
 	"time"
 
@@ -10,9 +9,6 @@
 	"lacewingramp.example/lacewingramp/internal/limit/quota"
 )
 
-// lendersMost is how many instances are asked for a loan at a time.
-const lendersMost = 3
-
 // Need borrows quota for a subject, unless that is under way.
 func (i *Instance) Need(s lacewingramp.Subject) {
 	if s.Kind != lacewingramp.SubjectCustomer {
@@ -21,94 +17,79 @@
 	i.once("need "+s.String(), func() { i.borrow(s) })
 }
 
-type lender struct {
-	endpoint lacewingramp.Endpoint
-	spare    lacewingramp.Spare
-}
-
-// lenders lists the instances with most to spare. Where none says that it has
-// any, those heard of last are asked all the same.
-func (i *Instance) lenders(now time.Time, s lacewingramp.Subject) []lender {
-	var all, blind []lender
+// offers lists what the live instances say they could lend. It needs the lock.
+func (i *Instance) offers(now time.Time, s lacewingramp.Subject) []quota.Offer {
+	var all []quota.Offer
 	for _, m := range i.State.Roster.Members() {
 		if !m.Live(now) {
 			continue
 		}
-		l := lender{endpoint: m.Digest.Endpoint}
-		blind = append(blind, l)
+		o := quota.Offer{Lender: m.Digest.Name, Sibling: m.Digest.Domain == i.State.Self.Domain}
 		for _, p := range m.Digest.Spares {
 			if p.Subject == s {
-				l.spare = p
-				all = append(all, l)
+				o.Spare = p
 			}
 		}
+		all = append(all, o)
 	}
-	if len(all) == 0 {
-		return blind[:min(len(blind), lendersMost)]
+	return all
+}
+
+// peers lists the live instances that stay, of the own domain and of others.
+// It needs the lock.
+func (i *Instance) peers(now time.Time) (siblings, others []string) {
+	for _, m := range i.State.Roster.Members() {
+		switch {
+		case !m.Live(now) || m.Digest.Leaving:
+		case m.Digest.Domain == i.State.Self.Domain:
+			siblings = append(siblings, m.Digest.Name)
+		default:
+			others = append(others, m.Digest.Name)
+		}
 	}
-	sort.SliceStable(all, func(a, b int) bool { return all[a].spare.Tokens > all[b].spare.Tokens })
-	return all[:min(len(all), lendersMost)]
+	return siblings, others
 }
 
-// borrow asks the lenders for what the instance lacks, all at once, each for
-// its part.
+// borrow asks the lenders for what the instance lacks, all at once.
 func (i *Instance) borrow(s lacewingramp.Subject) {
 	now := i.Timer.Now()
 	i.State.Lock()
 	need, ok := i.State.Quota.NeedOf(now, s)
-	lenders := i.lenders(now, s)
-	asks := make([]lacewingramp.Ask, len(lenders))
-	for n := range lenders {
-		asks[n] = i.State.Quota.Ask(now, share(need, lenders, n))
+	var portions []quota.Portion
+	var asks []lacewingramp.Ask
+	if ok {
+		portions = i.State.Quota.Choose(need, i.offers(now, s))
+		for _, p := range portions {
+			asks = append(asks, i.State.Quota.Ask(now, p.Need))
+		}
 	}
 	i.State.Unlock()
-	if !ok {
-		return
-	}
 	var wait sync.WaitGroup
-	for n, l := range lenders {
-		wait.Go(func() { i.ask(l.endpoint, asks[n]) })
+	for n, p := range portions {
+		wait.Go(func() { i.ask(p.Lender, asks[n]) })
 	}
 	wait.Wait()
 }
 
-// share is the part of a need that one lender is asked for: as its spare is
-// to that of all, and a little more.
-func share(n quota.Need, all []lender, one int) quota.Need {
-	const more = 1.2
-	var tokens, rate float64
-	for _, l := range all {
-		tokens += l.spare.Tokens
-		rate += l.spare.Rate
-	}
-	if tokens > 0 {
-		n.Tokens = max(1, n.Tokens*more*all[one].spare.Tokens/tokens)
-	}
-	if rate > 0 {
-		n.Rate *= more * all[one].spare.Rate / rate
+func (i *Instance) ask(lender string, a lacewingramp.Ask) {
+	address := i.address(lender)
+	if address == "" {
+		return
 	}
-	return n
-}
-
-func (i *Instance) ask(e lacewingramp.Endpoint, a lacewingramp.Ask) {
 	ctx, cancel := i.callContext(lendTimeout)
 	defer cancel()
-	loan, err := i.Peer.Lend(ctx, e.Peer, &a)
+	loan, err := i.Peer.Lend(ctx, address, &a)
 	if err != nil {
 		return
 	}
 	i.State.Lock()
 	defer i.State.Unlock()
-	i.State.Quota.Borrow(i.Timer.Now(), e.Name, *loan)
+	i.State.Quota.Borrow(i.Timer.Now(), lender, *loan)
 }
 
+// giveBack sends a loan back.
 func (i *Instance) giveBack(g quota.Giving) {
-	i.State.Lock()
-	address := ""
-	if m, ok := i.State.Roster.Find(g.Lender); ok {
-		address = m.Digest.Peer
-	}
-	i.State.Unlock()
+	address := i.address(g.Lender)
 	if address == "" {
 		return
 	}
@@ -119,6 +100,26 @@
 	}()
 }
 
+// extend asks for another term of a loan.
+func (i *Instance) extend(r quota.Renewal) {
+	address := i.address(r.Lender)
+	if address == "" {
+		return
+	}
+	i.once("extend "+address+r.Extend.Subject.String(), func() {
+		ctx, cancel := i.callContext(lendTimeout)
+		defer cancel()
+		sent := i.Timer.Now()
+		x, err := i.Peer.Extend(ctx, address, &r.Extend)
+		if err != nil {
+			return
+		}
+		i.State.Lock()
+		defer i.State.Unlock()
+		i.State.Quota.Extended(i.Timer.Now(), sent, r.Extend, *x)
+	})
+}
+
 // ServeLend answers another instance's wish for quota.
 func (i *Instance) ServeLend(_ context.Context, a *lacewingramp.Ask) (*lacewingramp.Loan, error) {
 	i.State.Lock()
@@ -127,6 +128,14 @@
 	return &l, nil
 }
 
+// ServeExtend lets a loan run for another term.
+func (i *Instance) ServeExtend(_ context.Context, e *lacewingramp.Extend) (*lacewingramp.Extended, error) {
+	i.State.Lock()
+	defer i.State.Unlock()
+	x := i.State.Quota.Extend(i.Timer.Now(), *e)
+	return &x, nil
+}
+
 // ServeGiveBack takes a loan back.
 func (i *Instance) ServeGiveBack(_ context.Context, r *lacewingramp.Return) error {
 	i.State.Lock()
--- a/internal/entry/instance/instance_shard.go
+++ b/internal/entry/instance/instance_shard.go
@@ -60,17 +60,28 @@
 	}
 	i.learn(h)
 	i.split(h)
-	i.State.Lock()
-	v := i.view(h)
-	i.State.Unlock()
-	for _, s := range holding.Plan(v) {
+	for range quota.Shards {
+		i.State.Lock()
+		v := i.view(i.State.Holding)
+		i.State.Unlock()
+		if !i.follow(holding.Plan(v)) {
+			return
+		}
+	}
+}
+
+// follow does what the plan says and reports whether it is worth a new plan.
+func (i *Instance) follow(steps []holding.Step) bool {
+	again := false
+	for _, s := range steps {
 		switch s.Kind {
 		case holding.StepAsk:
-			i.askShard(s)
+			again = i.askShard(s)
 		case holding.StepTake:
 			i.takeShard(s)
 		}
 	}
+	return again
 }
 
 // settleBlind asks for shards while the store is down, by what the domain's
@@ -99,7 +110,7 @@
 	}
 	for _, s := range holding.Plan(v) {
 		if s.Kind == holding.StepAsk {
-			i.askShard(s)
+			_ = i.askShard(s)
 		}
 	}
 }
@@ -281,18 +292,19 @@
 
 // askShard asks a holder for a shard and takes it into use at once. The key
 // follows.
-func (i *Instance) askShard(s holding.Step) {
+func (i *Instance) askShard(s holding.Step) bool {
 	address := i.address(s.From)
 	if address == "" {
-		return
+		return false
 	}
 	ctx, cancel := i.callContext(callTimeout)
 	defer cancel()
 	got, err := i.Peer.Give(ctx, address, &lacewingramp.Give{From: i.State.Self.Name, Shard: s.Shard})
 	if err != nil || !got.Given {
-		return
+		return false
 	}
 	i.accept(got)
+	return true
 }
 
 func (i *Instance) address(name string) string {
@@ -315,6 +327,7 @@
 	self := i.State.Self
 	i.State.Unlock()
 	i.Log.Info().Int("shard", g.Shard).Int64("epoch", g.Epoch).Msg("shard handed over")
+	i.once("spread", func() { i.beat(i.Timer.Now()) })
 	i.once("record", func() { i.writeHolding(func(h *holding.Holding) bool { return i.record(h, self) }) })
 }
 
@@ -396,14 +409,11 @@
 	if !i.State.Pool.Drop(now, shard) {
 		return &lacewingramp.Handed{}
 	}
-	levels, ok := i.State.Quota.Drop(now, shard)
-	if !ok {
-		i.Carrier.Wake(i.State.Pool.Hold(now, shard))
-		return &lacewingramp.Handed{}
-	}
+	load, _ := i.State.Quota.Drop(now, shard)
 	delete(i.State.Claims, shard)
 	since, notes := i.State.Records.Drop(shard)
 	return &lacewingramp.Handed{
-		Given: true, Shard: shard, Epoch: epoch + 1, Since: since, Levels: levels, Notes: notes,
+		Given: true, Shard: shard, Epoch: epoch + 1, Since: since, Notes: notes,
+		Levels: load.Levels, Owed: load.Owed,
 	}
 }
--- a/internal/entry/instance/instance_stop.go
+++ b/internal/entry/instance/instance_stop.go
@@ -32,6 +32,7 @@
 	i.Front.Closed.Store(true)
 	i.State.Lock()
 	i.State.Self.Leaving = true
+	i.State.Quota.Leave()
 	i.State.Unlock()
 	i.beat(begun)
 	i.publish(i.lease)
--- /dev/null
+++ b/internal/limit/quota/bench_test.go
@@ -0,0 +1,103 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"lacewingramp.example/lacewingramp"
+)
+
+// deployments are the customers' limits of the two deployments of today.
+var deployments = map[string][]lacewingramp.Limit{
+	"bank": {
+		{Rate: 600, Burst: 300}, {Rate: 400, Burst: 200}, {Rate: 200, Burst: 100}, {Rate: 60, Burst: 30},
+		{Rate: 60, Burst: 30}, {Rate: 40, Burst: 20}, {Rate: 30, Burst: 15}, {Rate: 20, Burst: 10},
+	},
+	"kavach": {
+		{Rate: 500, Burst: 250}, {Rate: 350, Burst: 175}, {Rate: 200, Burst: 100}, {Rate: 80, Burst: 40},
+		{Rate: 80, Burst: 40}, {Rate: 40, Burst: 20}, {Rate: 30, Burst: 15}, {Rate: 20, Burst: 10},
+	},
+}
+
+var perDomain = []int{2, 2, 2, 2, 1, 1}
+
+// scenario is a course of events in a scene.
+type scenario struct {
+	name string
+	play func(s *scene)
+}
+
+func even(s *scene, part float64) []stream {
+	var all []stream
+	for c, l := range s.limits {
+		for d := range s.parts {
+			all = append(all, stream{customer: c, domain: d, rate: l.Rate * part / float64(len(s.parts))})
+		}
+	}
+	return all
+}
+
+var scenarios = []scenario{
+	{"steady", func(s *scene) { s.run(30*time.Second, even(s, 0.6)) }},
+	{"one-at-5x", func(s *scene) {
+		all := even(s, 0.6)
+		for d := range s.parts {
+			all[d].rate = s.limits[0].Rate * 5 / float64(len(s.parts))
+		}
+		s.run(30*time.Second, all)
+	}},
+	{"one-domain", func(s *scene) {
+		var all []stream
+		for c, l := range s.limits {
+			all = append(all, stream{customer: c, domain: c % len(s.parts), rate: l.Rate * 0.8})
+		}
+		s.run(30*time.Second, all)
+	}},
+	{"moving", func(s *scene) {
+		for i := range 6 {
+			var all []stream
+			for c, l := range s.limits {
+				all = append(all, stream{customer: c, domain: (c + i) % len(s.parts), rate: l.Rate * 0.7})
+			}
+			s.run(5*time.Second, all)
+		}
+	}},
+	{"domain-lost", func(s *scene) {
+		s.run(5*time.Second, even(s, 0.6))
+		for _, t := range s.seats {
+			t.dead = t.dead || t.domain == 5
+		}
+		s.run(30*time.Second, even(s, 0.6))
+	}},
+	{"cut-off-3m", func(s *scene) {
+		s.run(5*time.Second, even(s, 0.6))
+		s.cut[4] = true
+		s.run(3*time.Minute, even(s, 0.6))
+		s.cut[4] = false
+		s.run(10*time.Second, even(s, 0.6))
+	}},
+}
+
+// BenchmarkScenes prints wrongful refusals and excess for each scenario,
+// beside those of the simpler ways.
+func BenchmarkScenes(b *testing.B) {
+	for _, deployment := range []string{"bank", "kavach"} {
+		for _, c := range scenarios {
+			for _, way := range []string{"shards", "equal", "home"} {
+				b.Run(deployment+"/"+c.name+"/"+way, func(b *testing.B) {
+					for b.Loop() {
+						s := newScene(1, perDomain, deployments[deployment])
+						if way != "shards" {
+							s.baseline = way
+						}
+						c.play(s)
+						b.ReportMetric(s.ppm(), "wrongful-ppm")
+						b.ReportMetric(s.excess, "excess")
+						b.ReportMetric(s.fairness(), "worst/median")
+						b.ReportMetric(float64(s.wait(0.99).Microseconds())/1000, "p99-wait-ms")
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/limit/quota/bucket.go
+++ b/internal/limit/quota/bucket.go
@@ -7,9 +7,13 @@
 	"lacewingramp.example/lacewingramp"
 )
 
-// demandDecay is the time in which an old measure of demand loses most of
-// its weight.
-const demandDecay = time.Second
+// Demand is averaged over the time in which about demandSamples requests
+// come, within these bounds.
+const (
+	demandSamples = 12
+	demandFastest = 200 * time.Millisecond
+	demandSlowest = 2 * time.Second
+)
 
 // bucket is all that an instance has of one limit: its own parcels and the
 // borrowed ones, joined into one level.
@@ -27,12 +31,46 @@
 	demand   float64
 	measured time.Time
 	waiting  int
+	asked    time.Time
+	wants    map[string]want
+	rivals   map[string]lacewingramp.Spare
+}
+
+// want is what a sibling has last said that it needs of a small limit.
+type want struct {
+	demand  float64
+	waiting int
+	at      time.Time
+}
+
+// wantTime is how long a sibling's word on its need counts.
+const wantTime = time.Second
+
+// total is the demand and the waiting requests of the instance and of the
+// siblings for whom it gathers the limit.
+func (k *bucket) total(now time.Time) (demand float64, waiting int) {
+	demand, waiting = k.demand, k.waiting
+	for n, w := range k.wants {
+		if now.Sub(w.at) > wantTime {
+			delete(k.wants, n)
+			continue
+		}
+		demand += w.demand
+		waiting += w.waiting
+	}
+	return demand, waiting
 }
 
 type lent struct {
 	id     lacewingramp.LoanID
 	parcel lacewingramp.Parcel
 	until  time.Time
+	// parted is set on a loan that is not to be extended: a part of it has
+	// gone with a shard, or it is made of other loans.
+	parted bool
+	// source is the borrowed loan that the parcel was taken out of, zero
+	// where it is the instance's own.
+	source lacewingramp.LoanID
 }
 
 type borrowed struct {
@@ -40,6 +78,7 @@
 	lender string
 	parcel lacewingramp.Parcel
 	until  time.Time
+	all    bool
 }
 
 func (k *bucket) perSecond() float64 {
@@ -90,15 +129,22 @@
 // expire takes back the loans that are over, and ends the borrowed ones.
 func (k *bucket) expire(now time.Time) {
 	k.accrue(now)
+	if len(k.lent) == 0 {
+		return
+	}
+	var over []lent
 	kept := k.lent[:0]
 	for _, l := range k.lent {
 		if now.Before(l.until) {
 			kept = append(kept, l)
 			continue
 		}
-		k.rejoin(l.parcel)
+		over = append(over, l)
 	}
 	k.lent = kept
+	for _, l := range over {
+		k.reattach(l, 0)
+	}
 }
 
 // rejoin adds a parcel to what the instance owns, less what it owes.
@@ -117,15 +163,15 @@
 	k.rejoin(lacewingramp.Parcel{Rate: u, Burst: u})
 }
 
-// lose gives up u units, from loans as they come back where the instance's
-// own do not suffice.
-func (k *bucket) lose(u lacewingramp.Units) {
-	rate := min(u, k.own.Rate)
-	burst := min(u, k.own.Burst)
-	k.own.Rate -= rate
-	k.own.Burst -= burst
-	k.owed.Rate += u - rate
-	k.owed.Burst += u - burst
+// lose gives up units, from loans as they come back where the instance's own
+// do not suffice.
+func (k *bucket) lose(rate, burst lacewingramp.Units) {
+	r := min(rate, k.own.Rate)
+	b := min(burst, k.own.Burst)
+	k.own.Rate -= r
+	k.own.Burst -= b
+	k.owed.Rate += rate - r
+	k.owed.Burst += burst - b
 	k.clamp()
 }
 
@@ -148,8 +194,10 @@
 		k.measured = now
 		return
 	}
-	w := 1 - math.Exp(-d.Seconds()/demandDecay.Seconds())
-	k.demand += w * (k.offered/d.Seconds() - k.demand)
+	current := k.offered / d.Seconds()
+	over := demandSamples / math.Max(1, math.Max(k.demand, current))
+	over = math.Min(demandSlowest.Seconds(), math.Max(demandFastest.Seconds(), over))
+	k.demand += (1 - math.Exp(-d.Seconds()/over)) * (current - k.demand)
 	k.offered = 0
 	k.measured = now
 }
--- a/internal/limit/quota/fleet_test.go
+++ b/internal/limit/quota/fleet_test.go
@@ -71,7 +71,7 @@
 		}
 		first := f.nodes[d*each]
 		for s := range Shards {
-			first.book.Hold(f.now, s, nil)
+			first.book.Hold(f.now, s, Load{})
 			f.holder[d][s] = first
 		}
 	}
@@ -180,16 +180,46 @@
 	})
 }
 
+// extend has a node ask for another term of all that it borrows.
+func (f *fleet) extend(n *node, there, back transit) {
+	if !f.running(n) {
+		return
+	}
+	for _, l := range n.book.buckets[subject].borrowed {
+		e := lacewingramp.Extend{ID: l.id, Subject: subject}
+		lender := f.named(l.lender)
+		sent := f.now
+		f.carry(there, func(now time.Time) {
+			if !f.running(lender) {
+				return
+			}
+			x := lender.book.Extend(now, e)
+			f.carry(back, func(now time.Time) {
+				if f.running(n) {
+					n.book.Extended(now, sent, e, x)
+				}
+			})
+		})
+	}
+}
+
+func (f *fleet) named(name string) *node {
+	for _, n := range f.nodes {
+		if n.name == name {
+			return n
+		}
+	}
+	return nil
+}
+
 func (f *fleet) giveBack(n *node, t transit) {
 	if !f.running(n) {
 		return
 	}
 	for _, g := range n.book.Returns(f.now) {
 		f.carry(t, func(now time.Time) {
-			for _, o := range f.nodes {
-				if o.name == g.Lender && f.running(o) {
-					o.book.TakeBack(now, g.Return)
-				}
+			if o := f.named(g.Lender); f.running(o) {
+				o.book.TakeBack(now, g.Return)
 			}
 		})
 	}
@@ -205,7 +235,7 @@
 	if from.book.Suspended(f.now) {
 		return
 	}
-	levels, ok := from.book.Drop(f.now, shard)
+	load, ok := from.book.Drop(f.now, shard)
 	if !ok {
 		return
 	}
@@ -215,7 +245,7 @@
 	}
 	f.send(t.delay, func(now time.Time) {
 		if f.running(to) && f.holder[d][shard] == nil {
-			to.book.Hold(now, shard, levels)
+			to.book.Hold(now, shard, load)
 			f.holder[d][shard] = to
 		}
 	})
@@ -234,7 +264,7 @@
 		if f.now.Sub(h.killed) <= Fence {
 			continue
 		}
-		to.book.Hold(f.now, s, nil)
+		to.book.Hold(f.now, s, Load{})
 		f.holder[to.domain][s] = to
 	}
 }
@@ -262,7 +292,9 @@
 		k := n.book.buckets[subject]
 		sum += k.own.Rate
 		for _, l := range k.lent {
-			sum += l.parcel.Rate
+			if l.source == (lacewingramp.LoanID{}) {
+				sum += l.parcel.Rate
+			}
 		}
 	}
 	return sum
--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -16,7 +16,7 @@
 // # Usage
 //
 //	book := quota.NewBook("uy1-a", limits)
-//	book.Hold(now, 3, nil)
+//	book.Hold(now, 3, quota.Load{})
 //	if book.Take(now, subject) == nil {
 //		// The request may run.
 //	}
@@ -46,9 +46,6 @@
 	// Fence is how long an instance must have been silent before its shards
 	// are taken. It is longer than a loan of its shards.
 	Fence = 5 * time.Second
-	// leavingMost is how long a shard that is to be dropped is kept from being
-	// lent, if nobody comes back for it.
-	leavingMost = Term + Margin + time.Second
 	// PauseLimit is the longest gap between two ticks after which an instance
 	// still trusts that it holds its shards.
 	PauseLimit = Fence / 2
@@ -78,16 +75,19 @@
 	config    Config
 	buckets   map[lacewingramp.Subject]*bucket
 	held      [Shards]bool
-	leaving   [Shards]time.Time
 	seq       uint64
 	asked     map[lacewingramp.LoanID]asking
 	ticked    time.Time
 	suspended bool
+	siblings  []string
+	others    []string
+	leaves    bool
 }
 
 type asking struct {
 	subject lacewingramp.Subject
 	sent    time.Time
+	all     bool
 }
 
 // NewBook returns the Book of the instance called name, which holds nothing.
@@ -151,7 +151,7 @@
 		k.gain((after - before) * n)
 		return
 	}
-	k.lose((before - after) * n)
+	k.lose((before-after)*n, (before-after)*n)
 }
 
 func (b *Book) heldCount() int {
@@ -192,11 +192,6 @@
 			delete(b.buckets, s)
 		}
 	}
-	for i, at := range b.leaving {
-		if !at.IsZero() && now.Sub(at) > leavingMost {
-			b.leaving[i] = time.Time{}
-		}
-	}
 	for id, a := range b.asked {
 		if now.Sub(a.sent) > Term {
 			delete(b.asked, id)
--- a/internal/limit/quota/quota_borrow.go
+++ b/internal/limit/quota/quota_borrow.go
@@ -7,12 +7,73 @@
 	"lacewingramp.example/lacewingramp"
 )
 
+// Policy of borrowing.
+const (
+	// askFactor is how many times its demand a borrower asks for.
+	askFactor = 1.2
+	// askAhead is the time whose demand a borrower keeps as tokens.
+	askAhead = 400 * time.Millisecond
+	// extendAhead is how long before its end a loan is extended.
+	extendAhead = time.Second
+	// goneAhead is how long before its end a loan counts as gone when the
+	// need is worked out.
+	goneAhead = 300 * time.Millisecond
+	// returnBelow is the demand, as a part of the rate that is left without
+	// it, under which a borrower brings a loan back.
+	returnBelow = 0.5
+	// thinInstance is the burst, in tokens, under which an instance's own part
+	// is too small to be of use by itself, and thinDomain that of a domain.
+	thinInstance = 8
+	thinDomain   = 6
+	// returnAhead is how long before its end a loan of tokens goes back, so
+	// that the tokens are not lost.
+	returnAhead = 300 * time.Millisecond
+	// stockLeast is the tokens of askAhead's demand under which none are
+	// fetched ahead.
+	stockLeast = 0.5
+	// activeTime is how long a subject counts as in use after it was asked
+	// for.
+	activeTime = 10 * time.Second
+	// activeDemand is the demand, in requests a second, of a subject in use.
+	activeDemand = 0.01
+)
+
+// gathering says how far a small limit is gathered at one instance.
+type gathering uint8
+
+const (
+	gatherNot gathering = iota
+	gatherDomain
+	gatherFleet
+)
+
+// gathering says whether the instance's own part, or the whole domain's, is
+// too small to be of use by itself. It depends on the Table alone, so that
+// all instances of a domain agree.
+func (b *Book) gathering(s lacewingramp.Subject, k *bucket) gathering {
+	shard := b.shardUnits(s).Of(k.limit.Burst)
+	switch {
+	case shard*Shards < thinDomain:
+		return gatherFleet
+	case shard*Shards/float64(len(b.siblings)+1) < thinInstance:
+		return gatherDomain
+	default:
+		return gatherNot
+	}
+}
+
+func (k *bucket) active(now time.Time) bool {
+	return k.waiting > 0 || k.demand > activeDemand || now.Sub(k.asked) < activeTime
+}
+
 // Need is what an instance lacks of one limit: Rate in tokens a second and
-// Tokens at once.
+// Tokens at once. With All set it is the domain's home of a small limit and
+// gathers all that its siblings have.
 type Need struct {
 	Subject lacewingramp.Subject
 	Rate    float64
 	Tokens  float64
+	All     bool
 }
 
 // Needs lists the subjects that the instance should borrow: those whose
@@ -38,24 +99,50 @@
 
 func (b *Book) need(now time.Time, s lacewingramp.Subject, k *bucket) (Need, bool) {
 	k.accrue(now)
-	demand := math.Min(k.demand, k.limit.Rate)
+	n := Need{Subject: s, All: b.gathers(now, s, k)}
+	demand, waiting := k.total(now)
+	demand = math.Min(demand, k.limit.Rate)
 	rate := k.own.Rate
 	for _, l := range k.borrowed {
-		if l.until.Sub(now) > renewAhead {
+		if l.until.Sub(now) > goneAhead {
 			rate += l.parcel.Rate
 		}
 	}
-	n := Need{Subject: s}
-	n.Rate = math.Max(0, demand*askFactor-rate.Of(k.limit.Rate))
-	n.Tokens = math.Max(0, float64(k.waiting)+demand*askAhead.Seconds()-k.level)
-	if n.Tokens < 1 && k.waiting == 0 {
-		n.Tokens = 0
+	stock := demand * askAhead.Seconds()
+	if stock < stockLeast || b.gathering(s, k) != gatherNot {
+		stock = 0
 	}
-	if n.Rate == 0 && n.Tokens == 0 {
+	n.Rate = math.Max(0, demand*askFactor-rate.Of(k.limit.Rate))
+	n.Tokens = math.Ceil(math.Max(0, float64(waiting)+stock-k.level))
+	lacks := waiting > 0 || k.level < stock
+	if !n.All && (!lacks || n.Rate == 0 && n.Tokens == 0) {
 		return n, false
 	}
-	n.Tokens = math.Max(1, math.Ceil(n.Tokens))
-	return n, k.waiting > 0 || k.level < demand*askAhead.Seconds()
+	n.Tokens = math.Max(1, n.Tokens)
+	return n, true
+}
+
+// gathers reports whether the instance is the home of a small limit that is
+// in use and has not been gathered yet.
+func (b *Book) gathers(now time.Time, s lacewingramp.Subject, k *bucket) bool {
+	from := 0
+	switch b.gathering(s, k) {
+	case gatherDomain:
+		from = len(b.siblings)
+	case gatherFleet:
+		from = len(b.siblings) + len(b.others)
+	default:
+	}
+	if from == 0 || !k.active(now) || b.home(s, k) != b.name {
+		return false
+	}
+	have := 0
+	for _, l := range k.borrowed {
+		if l.all && l.until.Sub(now) > goneAhead {
+			have++
+		}
+	}
+	return have < from
 }
 
 // Ask turns a part of a need into a message. The term of a loan that answers
@@ -63,8 +150,12 @@
 func (b *Book) Ask(now time.Time, n Need) lacewingramp.Ask {
 	b.seq++
 	id := lacewingramp.LoanID{Borrower: b.name, Serial: b.seq}
-	b.asked[id] = asking{subject: n.Subject, sent: now}
-	return lacewingramp.Ask{ID: id, Subject: n.Subject, Rate: n.Rate, Tokens: n.Tokens}
+	b.asked[id] = asking{subject: n.Subject, sent: now, all: n.All}
+	ask := lacewingramp.Ask{ID: id, Subject: n.Subject, Rate: n.Rate, Tokens: n.Tokens, All: n.All}
+	if k, ok := b.buckets[n.Subject]; ok {
+		ask.Demand, ask.Waiting = k.demand, k.waiting
+	}
+	return ask
 }
 
 // Borrow takes a loan into use. One that answers no open Ask, comes twice or
@@ -81,7 +172,7 @@
 		return false
 	}
 	k.accrue(now)
-	k.borrowed = append(k.borrowed, borrowed{id: loan.ID, lender: lender, parcel: loan.Parcel, until: until})
+	k.borrowed = append(k.borrowed, borrowed{id: loan.ID, lender: lender, parcel: loan.Parcel, until: until, all: a.all})
 	k.rate += loan.Parcel.Rate
 	k.burst += loan.Parcel.Burst
 	k.level += loan.Parcel.Level
@@ -95,33 +186,95 @@
 	Return lacewingramp.Return
 }
 
-// Returns ends the loans that demand no longer asks for and lists what to
-// send back. After it the loan is not used, whether or not it arrives.
+// Returns ends the loans that are no longer needed and lists what to send
+// back. After it they are not used, whether or not the message arrives.
 func (b *Book) Returns(now time.Time) []Giving {
 	var all []Giving
 	for s, k := range b.buckets {
 		k.accrue(now)
-		if len(k.borrowed) == 0 || k.waiting > 0 || !k.idle() {
+		if len(k.borrowed) == 0 {
 			continue
 		}
-		l := k.borrowed[0]
-		k.borrowed = append(k.borrowed[:0], k.borrowed[1:]...)
-		back := math.Min(k.level, l.parcel.Burst.Of(k.limit.Burst))
-		k.level -= back
-		k.rate -= l.parcel.Rate
-		k.burst -= l.parcel.Burst
-		k.clamp()
-		all = append(all, Giving{
-			Lender: l.lender,
-			Return: lacewingramp.Return{ID: l.id, Subject: s, Level: back},
-		})
+		thin, home := b.gathering(s, k) != gatherNot, b.home(s, k) == b.name
+		for i := 0; i < len(k.borrowed); {
+			l := k.borrowed[i]
+			if k.keeps(now, l, thin, home) {
+				i++
+				continue
+			}
+			k.borrowed = append(k.borrowed[:i], k.borrowed[i+1:]...)
+			all = append(all, Giving{Lender: l.lender, Return: lacewingramp.Return{ID: l.id, Subject: s, Level: k.part(l)}})
+		}
+	}
+	return all
+}
+
+// part ends the use of a loan and returns the tokens that go back with it.
+func (k *bucket) part(l borrowed) float64 {
+	keep := (k.own.Burst + k.burst - l.parcel.Burst).Of(k.limit.Burst)
+	back := math.Min(math.Max(0, k.level-keep), l.parcel.Burst.Of(k.limit.Burst))
+	if k.demand < activeDemand || l.parcel.Rate == 0 {
+		back = math.Min(k.level, l.parcel.Burst.Of(k.limit.Burst))
+	}
+	k.level -= back
+	k.rate -= l.parcel.Rate
+	k.burst -= l.parcel.Burst
+	k.clamp()
+	return back
+}
+
+// keeps reports whether a loan is still of use: one of tokens alone while
+// requests wait or tokens are left, one of rate while demand asks for it. The
+// tokens of a small limit go back at once, as others may wait for them.
+func (k *bucket) keeps(now time.Time, l borrowed, thin, home bool) bool {
+	if k.passedOn(l.id) {
+		return true
+	}
+	if l.all {
+		return k.active(now) && home
+	}
+	if _, waiting := k.total(now); waiting > 0 {
+		return true
+	}
+	if l.parcel.Rate == 0 {
+		return !thin && k.level >= 1 && k.demand > activeDemand && l.until.Sub(now) > returnAhead
+	}
+	left := (k.own.Rate + k.rate - l.parcel.Rate).Of(k.limit.Rate)
+	demand, _ := k.total(now)
+	return demand >= returnBelow*left && demand > activeDemand
+}
+
+// Renewal is a loan that should be extended, with its lender.
+type Renewal struct {
+	Lender string
+	Extend lacewingramp.Extend
+}
+
+// Renewals lists the loans that end soon and are still needed.
+func (b *Book) Renewals(now time.Time) []Renewal {
+	var all []Renewal
+	for s, k := range b.buckets {
+		k.accrue(now)
+		for _, l := range k.borrowed {
+			if l.parcel.Rate > 0 && l.until.Sub(now) < extendAhead {
+				all = append(all, Renewal{Lender: l.lender, Extend: lacewingramp.Extend{ID: l.id, Subject: s}})
+			}
+		}
 	}
 	return all
 }
 
-// idle reports whether demand stays well under the rate that is here without
-// the oldest loan.
-func (k *bucket) idle() bool {
-	left := k.own.Rate + k.rate - k.borrowed[0].parcel.Rate
-	return k.demand < returnBelow*left.Of(k.limit.Rate) || (k.demand*askAhead.Seconds() < 1 && k.demand < 1)
+// Extended takes the answer to an Extend that was sent at a moment. A loan
+// that has ended meanwhile stays ended.
+func (b *Book) Extended(now, sent time.Time, e lacewingramp.Extend, x lacewingramp.Extended) {
+	k, ok := b.buckets[e.Subject]
+	if !ok || !x.Granted {
+		return
+	}
+	k.accrue(now)
+	for i := range k.borrowed {
+		if l := &k.borrowed[i]; l.id == e.ID && sent.Add(x.Term).After(l.until) {
+			l.until = sent.Add(x.Term)
+		}
+	}
 }
--- a/internal/limit/quota/quota_lend.go
+++ b/internal/limit/quota/quota_lend.go
@@ -2,39 +2,31 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"lacewingramp.example/lacewingramp"
 )
 
-// Policy of lending and borrowing.
+// Policy of lending.
 const (
 	// keepFactor is how many times its own demand a lender keeps.
 	keepFactor = 1.2
 	// keepAhead is the time whose own demand a lender keeps as tokens.
 	keepAhead = 200 * time.Millisecond
-	// askFactor is how many times its demand a borrower asks for.
-	askFactor = 1.2
-	// askAhead is the time whose demand a borrower keeps as tokens.
-	askAhead = 400 * time.Millisecond
-	// renewAhead is how long before its end a loan counts as gone when the
-	// need is worked out.
-	renewAhead = 700 * time.Millisecond
-	// returnBelow is the demand, as a part of its borrowed rate, under which
-	// a borrower brings a loan back.
-	returnBelow = 0.5
+	// loanAhead is the time whose asked rate a loan can hold as tokens.
+	loanAhead = 400 * time.Millisecond
 )
 
 // spare returns what the instance could lend of a subject now.
-func (b *Book) spare(now time.Time, s lacewingramp.Subject, k *bucket) (rate, burst lacewingramp.Units, tokens float64) {
+func (b *Book) spare(now time.Time, k *bucket) (rate, burst lacewingramp.Units, tokens float64) {
 	k.expire(now)
-	kept := b.kept(s)
-	need := lacewingramp.UnitsOf(k.demand*keepFactor, k.limit.Rate)
-	rate = without(k.own.Rate, max(kept, need))
-	tokens = k.level - math.Max(float64(k.waiting), k.demand*keepAhead.Seconds())
-	reserve := lacewingramp.UnitsOf(math.Max(1, k.demand*keepAhead.Seconds()), k.limit.Burst)
-	burst = without(k.own.Burst, max(kept, reserve))
-	return rate, burst, math.Max(0, math.Min(tokens, burst.Of(k.limit.Burst)))
+	demand, _ := k.total(now)
+	rate = without(k.own.Rate, lacewingramp.UnitsOf(demand*keepFactor, k.limit.Rate))
+	keep := math.Max(float64(k.waiting), k.demand*keepAhead.Seconds())
+	burst = without(k.own.Burst, lacewingramp.UnitsOf(keep, k.limit.Burst))
+	tokens = math.Max(0, math.Min(k.level-keep, burst.Of(k.limit.Burst)))
+	return rate, burst, tokens
 }
 
 func without(u, less lacewingramp.Units) lacewingramp.Units {
@@ -52,9 +44,16 @@
 		if !wanted(s) {
 			continue
 		}
-		rate, _, tokens := b.spare(now, s, k)
-		if rate > 0 || tokens >= 1 {
-			all = append(all, lacewingramp.Spare{Subject: s, Rate: rate.Of(k.limit.Rate), Tokens: tokens})
+		rate, _, tokens := b.spare(now, k)
+		if b.gathering(s, k) != gatherNot {
+			tokens = math.Max(tokens, math.Floor(k.level-float64(k.waiting)))
+		}
+		p := lacewingramp.Spare{Subject: s, Rate: rate.Of(k.limit.Rate), Tokens: tokens}
+		if b.gathering(s, k) == gatherFleet && k.active(now) {
+			p.Demand, p.Gathers = k.demand, k.hasGathered()
+		}
+		if p.Rate > 0 || p.Tokens >= 1 || p.Demand > 0 {
+			all = append(all, p)
 		}
 	}
 	return all
@@ -63,31 +62,162 @@
 // Lend answers an Ask out of what the instance can spare. The loan is split
 // off before the answer leaves. An Ask that comes twice gets one loan.
 func (b *Book) Lend(now time.Time, ask lacewingramp.Ask) lacewingramp.Loan {
-	loan := lacewingramp.Loan{ID: ask.ID, Subject: ask.Subject, Term: Term}
+	none := lacewingramp.Loan{ID: ask.ID, Subject: ask.Subject, Term: Term}
 	k, ok := b.buckets[ask.Subject]
-	if !ok || b.Suspended(now) {
-		return loan
+	if !ok || b.Suspended(now) || k.lends(ask.ID) {
+		return none
+	}
+	k.expire(now)
+	if b.gathersFor(ask, k) {
+		k.heed(now, ask)
+	}
+	rate, burst, tokens := b.portion(now, k, ask)
+	if rate == 0 && tokens < 1 && !ask.All && b.gathering(ask.Subject, k) != gatherNot {
+		return b.sublend(now, k, ask)
+	}
+	if burst == 0 || (rate == 0 && tokens < 1) {
+		return none
 	}
+	none.Parcel = k.split(rate, burst, tokens)
+	k.lent = append(k.lent, lent{
+		id: ask.ID, parcel: lacewingramp.Parcel{Rate: rate, Burst: burst}, until: now.Add(Term + Margin),
+	})
+	return none
+}
+
+// gathersFor reports whether the instance may have to gather a small limit
+// for the one that asks.
+func (b *Book) gathersFor(ask lacewingramp.Ask, k *bucket) bool {
+	switch b.gathering(ask.Subject, k) {
+	case gatherFleet:
+		return true
+	case gatherDomain:
+		return slices.Contains(b.siblings, ask.ID.Borrower)
+	default:
+		return false
+	}
+}
+
+// heed notes what a sibling needs.
+func (k *bucket) heed(now time.Time, ask lacewingramp.Ask) {
+	k.asked = now
+	if ask.All {
+		return
+	}
+	if k.wants == nil {
+		k.wants = make(map[string]want)
+	}
+	k.wants[ask.ID.Borrower] = want{demand: ask.Demand, waiting: ask.Waiting, at: now}
+}
+
+func (k *bucket) lends(id lacewingramp.LoanID) bool {
 	for _, l := range k.lent {
-		if l.id == ask.ID {
-			return loan
+		if l.id == id {
+			return true
 		}
 	}
-	rate, burst, tokens := b.spare(now, ask.Subject, k)
+	return false
+}
+
+// portion is what an Ask gets: all there is where the domain gathers a small
+// limit at one instance, else what can be spared.
+func (b *Book) portion(now time.Time, k *bucket, ask lacewingramp.Ask) (rate, burst lacewingramp.Units, tokens float64) {
+	if ask.All && b.home(ask.Subject, k) == ask.ID.Borrower {
+		return k.own.Rate, k.own.Burst, k.level
+	}
+	rate, burst, tokens = b.spare(now, k)
 	rate = min(rate, lacewingramp.UnitsOf(ask.Rate, k.limit.Rate))
 	tokens = math.Min(tokens, ask.Tokens)
-	want := lacewingramp.UnitsOf(math.Max(tokens, ask.Rate*askAhead.Seconds()), k.limit.Burst)
-	burst = min(burst, want+1)
-	if burst == 0 || (rate == 0 && tokens < 1) {
+	want := lacewingramp.UnitsOf(math.Max(tokens, ask.Rate*loanAhead.Seconds()), k.limit.Burst)
+	return rate, min(burst, want+1), tokens
+}
+
+// sublend lends whole tokens out of all that has been gathered at this
+// instance. The loan ends before any loan that it is made of.
+func (b *Book) sublend(now time.Time, k *bucket, ask lacewingramp.Ask) lacewingramp.Loan {
+	loan := lacewingramp.Loan{ID: ask.ID, Subject: ask.Subject, Term: Term}
+	tokens := math.Floor(math.Min(ask.Tokens, k.level-float64(k.waiting)))
+	if tokens < 1 {
 		return loan
 	}
-	loan.Parcel = k.split(rate, burst, tokens)
-	k.lent = append(k.lent, lent{
-		id: ask.ID, parcel: lacewingramp.Parcel{Rate: rate, Burst: burst}, until: now.Add(Term + Margin),
-	})
+	want := lacewingramp.UnitsOf(tokens, k.limit.Burst) + 1
+	own := min(want, k.own.Burst)
+	parts := []lent{{id: ask.ID, parcel: lacewingramp.Parcel{Burst: own}, parted: true}}
+	got := own
+	for i := range k.borrowed {
+		l := &k.borrowed[i]
+		left := l.until.Sub(now) - Margin
+		take := min(want-got, l.parcel.Burst)
+		if take == 0 || left < subTerm {
+			continue
+		}
+		loan.Term = min(loan.Term, left)
+		parts = append(parts, lent{id: ask.ID, source: l.id, parcel: lacewingramp.Parcel{Burst: take}, parted: true})
+		got += take
+	}
+	if got < want {
+		return lacewingramp.Loan{ID: ask.ID, Subject: ask.Subject}
+	}
+	loan.Parcel = lacewingramp.Parcel{Burst: got, Level: tokens}
+	k.detach(parts, now.Add(loan.Term+Margin))
+	k.level -= tokens
+	k.clamp()
 	return loan
 }
 
+// subTerm is the shortest loan that is made of other loans.
+const subTerm = 400 * time.Millisecond
+
+// detach takes the parts of a loan out of what they are made of.
+func (k *bucket) detach(parts []lent, until time.Time) {
+	for _, p := range parts {
+		p.until = until
+		if p.source == (lacewingramp.LoanID{}) {
+			k.own.Burst -= p.parcel.Burst
+		} else if l := k.loan(p.source); l != nil {
+			l.parcel.Burst -= p.parcel.Burst
+			k.burst -= p.parcel.Burst
+		}
+		k.lent = append(k.lent, p)
+	}
+}
+
+// loan finds a borrowed loan.
+func (k *bucket) loan(id lacewingramp.LoanID) *borrowed {
+	for i := range k.borrowed {
+		if k.borrowed[i].id == id {
+			return &k.borrowed[i]
+		}
+	}
+	return nil
+}
+
+// reattach brings a lent parcel back to where it came from. Where that was a
+// loan that has ended, the parcel is no longer this instance's.
+func (k *bucket) reattach(l lent, level float64) {
+	if l.source == (lacewingramp.LoanID{}) {
+		l.parcel.Level = level
+		k.rejoin(l.parcel)
+		return
+	}
+	if from := k.loan(l.source); from != nil {
+		from.parcel.Burst += l.parcel.Burst
+		k.burst += l.parcel.Burst
+		k.level += level
+		k.clamp()
+	}
+}
+
+// passedOn reports whether a part of a borrowed loan is lent on.
+func (k *bucket) passedOn(id lacewingramp.LoanID) bool {
+	for _, l := range k.lent {
+		if l.source == id {
+			return true
+		}
+	}
+	return false
+}
+
 // TakeBack accepts a Return. One of a loan that is over, or that comes twice,
 // counts for nothing.
 func (b *Book) TakeBack(now time.Time, r lacewingramp.Return) {
@@ -96,14 +226,49 @@
 		return
 	}
 	k.expire(now)
-	for i, l := range k.lent {
-		if l.id != r.ID {
+	level := math.Max(0, r.Level)
+	kept := k.lent[:0]
+	var back []lent
+	for _, l := range k.lent {
+		if l.id == r.ID {
+			back = append(back, l)
 			continue
 		}
-		p := l.parcel
-		p.Level = math.Min(math.Max(0, r.Level), p.Burst.Of(k.limit.Burst))
-		k.lent = append(k.lent[:i], k.lent[i+1:]...)
-		k.rejoin(p)
-		return
+		kept = append(kept, l)
+	}
+	k.lent = kept
+	for _, l := range back {
+		part := math.Min(level, l.parcel.Burst.Of(k.limit.Burst))
+		level -= part
+		k.reattach(l, part)
+	}
+}
+
+// Extend lets a loan run for another term, unless the instance needs it
+// itself. A loan of which a part has gone with a shard is not extended.
+func (b *Book) Extend(now time.Time, e lacewingramp.Extend) lacewingramp.Extended {
+	k, ok := b.buckets[e.Subject]
+	if !ok || b.Suspended(now) {
+		return lacewingramp.Extended{}
+	}
+	k.expire(now)
+	if k.owed.Rate > 0 || k.owed.Burst > 0 || b.wants(k, e) {
+		return lacewingramp.Extended{}
+	}
+	for i := range k.lent {
+		if l := &k.lent[i]; l.id == e.ID && !l.parted {
+			l.until = now.Add(Term + Margin)
+			return lacewingramp.Extended{Granted: true, Term: Term}
+		}
+	}
+	return lacewingramp.Extended{}
+}
+
+// wants reports whether the instance needs a loan back. What a small limit's
+// home has gathered stays there.
+func (b *Book) wants(k *bucket, e lacewingramp.Extend) bool {
+	if b.gathering(e.Subject, k) != gatherNot && (b.home(e.Subject, k) == e.ID.Borrower || k.demand == 0) {
+		return false
 	}
+	return k.waiting > 0 || k.demand > k.own.Rate.Of(k.limit.Rate)
 }
--- a/internal/limit/quota/quota_shard.go
+++ b/internal/limit/quota/quota_shard.go
@@ -6,19 +6,29 @@
 	"lacewingramp.example/lacewingramp"
 )
 
-// Hold adds a shard. levels are what its former holder handed over; a shard
-// taken from a dead holder comes without.
-func (b *Book) Hold(now time.Time, shard int, levels []lacewingramp.Level) {
+// Load is what goes with a shard: tokens, and loans that are still out.
+type Load struct {
+	Levels []lacewingramp.Level
+	Owed   []lacewingramp.Owed
+}
+
+// Hold adds a shard with what its former holder handed over. A shard taken
+// from a dead holder comes with nothing.
+func (b *Book) Hold(now time.Time, shard int, load Load) {
 	if shard < 0 || shard >= Shards || b.held[shard] {
 		return
 	}
 	b.held[shard] = true
-	b.leaving[shard] = time.Time{}
 	for s, k := range b.buckets {
-		k.accrue(now)
+		k.expire(now)
 		k.gain(b.shardUnits(s))
 	}
-	for _, l := range levels {
+	for _, o := range load.Owed {
+		if k, ok := b.buckets[o.Subject]; ok && o.Parcel.Check() == nil {
+			k.owe(now, o)
+		}
+	}
+	for _, l := range load.Levels {
 		if k, ok := b.buckets[l.Subject]; ok && l.Tokens > 0 {
 			k.level += min(l.Tokens, b.shardUnits(l.Subject).Of(k.limit.Burst))
 			k.clamp()
@@ -26,37 +36,62 @@
 	}
 }
 
-// Drop gives up a shard and returns the tokens that go with it. While a part
-// of the shard is lent out it returns false, lends no more of it, and is to
-// be called again.
-func (b *Book) Drop(now time.Time, shard int) ([]lacewingramp.Level, bool) {
+// owe takes over a loan that was lent out of a shard. What this instance has
+// not got of it, because its part is smaller, is owed already.
+func (k *bucket) owe(now time.Time, o lacewingramp.Owed) {
+	p := lacewingramp.Parcel{Rate: min(o.Parcel.Rate, k.own.Rate), Burst: min(o.Parcel.Burst, k.own.Burst)}
+	k.own.Rate -= p.Rate
+	k.own.Burst -= p.Burst
+	k.lent = append(k.lent, lent{id: o.ID, parcel: p, parted: true, until: now.Add(min(o.Left, Term+Margin))})
+	k.clamp()
+}
+
+// Drop gives up a shard and returns what goes with it. Parts of it that are
+// lent out go along as loans of the next holder.
+func (b *Book) Drop(now time.Time, shard int) (Load, bool) {
 	if shard < 0 || shard >= Shards || !b.held[shard] {
-		return nil, false
+		return Load{}, false
 	}
-	b.leaving[shard] = now
+	n := b.heldCount()
+	b.held[shard] = false
+	var load Load
 	for s, k := range b.buckets {
 		k.expire(now)
 		u := b.shardUnits(s)
-		if k.own.Rate < u || k.own.Burst < u {
-			return nil, false
+		rate, burst := u, u
+		for rate > k.own.Rate || burst > k.own.Burst {
+			o, ok := k.release(now, s, without(rate, k.own.Rate), without(burst, k.own.Burst))
+			if !ok {
+				break
+			}
+			rate -= o.Parcel.Rate
+			burst -= o.Parcel.Burst
+			load.Owed = append(load.Owed, o)
+		}
+		k.lose(without(rate, k.own.Rate), without(burst, k.own.Burst))
+		p := k.split(min(rate, k.own.Rate), min(burst, k.own.Burst), k.level/float64(n))
+		if p.Level > 0 {
+			load.Levels = append(load.Levels, lacewingramp.Level{Subject: s, Tokens: p.Level})
 		}
 	}
-	return b.release(shard), true
+	return load, true
 }
 
-func (b *Book) release(shard int) []lacewingramp.Level {
-	n := b.heldCount()
-	b.held[shard] = false
-	b.leaving[shard] = time.Time{}
-	var levels []lacewingramp.Level
-	for s, k := range b.buckets {
-		u := b.shardUnits(s)
-		p := k.split(u, u, k.level/float64(n))
-		if p.Level > 0 {
-			levels = append(levels, lacewingramp.Level{Subject: s, Tokens: p.Level})
+// release takes up to rate and burst units out of the loans, for a shard that
+// is handed over. The rest of the loan stays with this instance.
+func (k *bucket) release(now time.Time, s lacewingramp.Subject, rate, burst lacewingramp.Units) (lacewingramp.Owed, bool) {
+	for i := range k.lent {
+		l := &k.lent[i]
+		p := lacewingramp.Parcel{Rate: min(rate, l.parcel.Rate), Burst: min(burst, l.parcel.Burst)}
+		if p.Empty() || l.source != (lacewingramp.LoanID{}) {
+			continue
 		}
+		l.parcel.Rate -= p.Rate
+		l.parcel.Burst -= p.Burst
+		l.parted = true
+		return lacewingramp.Owed{ID: l.id, Subject: s, Parcel: p, Left: l.until.Sub(now)}, true
 	}
-	return levels
+	return lacewingramp.Owed{}, false
 }
 
 // Forfeit drops a shard that another instance has taken. Tokens of it that
@@ -66,21 +101,9 @@
 		return
 	}
 	b.held[shard] = false
-	b.leaving[shard] = time.Time{}
 	for s, k := range b.buckets {
 		k.expire(now)
-		k.lose(b.shardUnits(s))
-	}
-}
-
-// kept is how much of subject must stay unlent because its shards are about
-// to be given up.
-func (b *Book) kept(s lacewingramp.Subject) lacewingramp.Units {
-	n := 0
-	for i, h := range b.held {
-		if h && !b.leaving[i].IsZero() {
-			n++
-		}
+		u := b.shardUnits(s)
+		k.lose(u, u)
 	}
-	return b.shardUnits(s) * lacewingramp.Units(n)
 }
--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -38,9 +38,11 @@
 			need := Need{
 				Rate:   rapid.Float64Range(0, 200).Draw(t, "rate"),
 				Tokens: rapid.Float64Range(0, 100).Draw(t, "tokens"),
+				All:    rapid.IntRange(0, 4).Draw(t, "all") == 0,
 			}
 			f.borrow(node(t), node(t), need, drawTransit(t), drawTransit(t))
 		},
+		"extend": func(t *rapid.T) { f.extend(node(t), drawTransit(t), drawTransit(t)) },
 		"return": func(t *rapid.T) { f.giveBack(node(t), drawTransit(t)) },
 		"hand": func(t *rapid.T) {
 			n := node(t)
@@ -141,6 +143,73 @@
 		gomega.Expect(f.refused).To(gomega.BeZero())
 	})
 
+	ginkgo.It("does not extend a loan of which a part has gone with a shard", func() {
+		f := newFleet(1, 3, lacewingramp.Limit{Rate: 100, Burst: 60})
+		a, b, c := f.nodes[0], f.nodes[1], f.nodes[2]
+		f.advance(5 * time.Second)
+		f.borrow(b, a, Need{Rate: 80, Tokens: 50}, transit{}, transit{})
+		f.advance(200 * time.Millisecond)
+		for s := range Shards - 1 {
+			f.hand(0, s, c, transit{})
+		}
+		f.advance(1300 * time.Millisecond)
+		f.extend(b, transit{}, transit{})
+		for range 100 {
+			f.advance(50 * time.Millisecond)
+			gomega.Expect(f.usable().Rate).To(gomega.BeNumerically("<=", lacewingramp.Whole))
+		}
+		gomega.Expect(f.units()).To(gomega.Equal(lacewingramp.Whole))
+	})
+
+	ginkgo.It("gathers a small limit of a domain at one instance", func() {
+		f := newFleet(1, 4, lacewingramp.Limit{Rate: 3, Burst: 2})
+		for s := range Shards {
+			f.hand(0, s, f.nodes[s%4], transit{})
+		}
+		f.advance(10 * time.Second)
+		for i, n := range f.nodes {
+			var names []string
+			for j, o := range f.nodes {
+				if i != j {
+					names = append(names, o.name)
+				}
+			}
+			n.book.Peers(names, nil)
+		}
+		home := f.named(f.nodes[0].book.home(subject, f.nodes[0].book.buckets[subject]))
+		home.book.Wait(subject, 1)
+		need, ok := home.book.NeedOf(f.now, subject)
+		gomega.Expect(ok).To(gomega.BeTrue())
+		gomega.Expect(need.All).To(gomega.BeTrue())
+		for _, n := range f.nodes {
+			if n != home {
+				f.borrow(home, n, need, transit{}, transit{})
+			}
+		}
+		f.advance(200 * time.Millisecond)
+		home.book.Wait(subject, -1)
+		f.take(home, 2)
+		gomega.Expect(f.refused).To(gomega.BeZero())
+	})
+
+	ginkgo.It("lends a small limit whole only to its home", func() {
+		f := newFleet(1, 2, lacewingramp.Limit{Rate: 30, Burst: 10})
+		a, b := f.nodes[0], f.nodes[1]
+		f.hand(0, 0, b, transit{})
+		f.advance(5 * time.Second)
+		a.book.Peers([]string{b.name}, nil)
+		b.book.Peers([]string{a.name}, nil)
+		b.book.Leave()
+		k := b.book.buckets[subject]
+		gomega.Expect(b.book.home(subject, k)).To(gomega.Equal(a.name))
+		held := a.book.Stock(subject).Own
+		_ = b.book.Take(f.now, subject)
+		ask := b.book.Ask(f.now, Need{Subject: subject, All: true, Tokens: 1})
+		a.book.Peers(nil, nil)
+		loan := a.book.Lend(f.now, ask)
+		gomega.Expect(loan.Parcel.Burst).To(gomega.BeNumerically("<", held.Burst/2))
+	})
+
 	ginkgo.It("admits nothing after a pause until its shards are confirmed", func() {
 		f := newFleet(1, 2, lacewingramp.Limit{Rate: 100, Burst: 60})
 		f.advance(5 * time.Second)
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -63,6 +63,7 @@
 			return s.ServeTable(ctx)
 		}),
 		describe("Lend", lacewingramp.PeerService.ServeLend),
+		describe("Extend", lacewingramp.PeerService.ServeExtend),
 		describe("GiveBack", func(s lacewingramp.PeerService, ctx context.Context, r *lacewingramp.Return) (*Empty, error) {
 			return &Empty{}, s.ServeGiveBack(ctx, r)
 		}),
--- a/internal/peer/link/link_client.go
+++ b/internal/peer/link/link_client.go
@@ -133,6 +133,11 @@
 	return call[lacewingramp.Loan](ctx, c, address, "Lend", a)
 }
 
+// Extend asks for another term of a loan.
+func (c *Client) Extend(ctx context.Context, address string, e *lacewingramp.Extend) (*lacewingramp.Extended, error) {
+	return call[lacewingramp.Extended](ctx, c, address, "Extend", e)
+}
+
 // GiveBack ends a loan before its term.
 func (c *Client) GiveBack(ctx context.Context, address string, r *lacewingramp.Return) error {
 	_, err := call[Empty](ctx, c, address, "GiveBack", r)
--- a/internal/steer/region/region.go
+++ b/internal/steer/region/region.go
@@ -26,6 +26,7 @@
 	"github.com/gaissmai/bart"
 
 	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/limit/quota"
 )
 
 // Policy of look-ups.
@@ -47,11 +48,13 @@
 )
 
 // Query is a look-up. Domain wins over Address where the caller states it.
+// Caller tells the callers of a customer apart.
 type Query struct {
-	Service string
-	Caller  string
-	Domain  string
-	Address netip.Addr
+	Service  string
+	Customer string
+	Caller   string
+	Domain   string
+	Address  netip.Addr
 }
 
 // Answer lists instances in the order in which a caller should try them.
@@ -96,14 +99,7 @@
 	index     map[string]int32
 	order     [][]int32
 	shares    map[shareKey]*share
-	instances [][]candidate
-}
-
-// candidate is an instance with the hash of its name.
-type candidate struct {
-	lacewingramp.Endpoint
-
-	hash uint64
+	instances [][]lacewingramp.Endpoint
 }
 
 type shareKey struct {
@@ -129,7 +125,7 @@
 	for i, d := range g.domains {
 		g.index[d.Name] = int32(i)
 	}
-	g.instances = make([][]candidate, len(g.domains))
+	g.instances = make([][]lacewingramp.Endpoint, len(g.domains))
 	g.order = orders(g.domains, t.Links)
 	g.blocks = blocks(t.Blocks, g.index)
 }
@@ -184,10 +180,10 @@
 
 // Instances takes in which instances of which domains answer callers.
 func (g *Guide) Instances(all []lacewingramp.Endpoint) {
-	lists := make([][]candidate, len(g.domains))
+	lists := make([][]lacewingramp.Endpoint, len(g.domains))
 	for _, e := range all {
 		if i, ok := g.index[e.Domain]; ok && !e.Leaving {
-			lists[i] = append(lists[i], candidate{Endpoint: e, hash: xxhash.Sum64String(e.Name)})
+			lists[i] = append(lists[i], e)
 		}
 	}
 	g.instances = lists
@@ -265,16 +261,16 @@
 		Home:      g.domains[home].Name,
 		Lifetime:  Lifetime,
 	}
-	h := xxhash.Sum64String(q.Caller)
-	place := float64(h>>11) / (1 << 53)
-	a.Instances = g.fill(a.Instances, home, q.Service, h, place, true)
-	a.Instances = g.fill(a.Instances, home, q.Service, h, place, false)
+	subject := lacewingramp.Subject{Kind: lacewingramp.SubjectCustomer, Name: q.Customer}
+	place := float64(xxhash.Sum64String(q.Caller)>>11) / (1 << 53)
+	a.Instances = g.fill(a.Instances, home, q.Service, subject, place, true)
+	a.Instances = g.fill(a.Instances, home, q.Service, subject, place, false)
 	return a
 }
 
 // fill adds the instances of the domains in which the caller's place lies
 // within the share, or with inside false those in which it does not.
-func (g *Guide) fill(list []lacewingramp.Endpoint, home int32, service string, h uint64, place float64, inside bool) []lacewingramp.Endpoint {
+func (g *Guide) fill(list []lacewingramp.Endpoint, home int32, service string, subject lacewingramp.Subject, place float64, inside bool) []lacewingramp.Endpoint {
 	for _, d := range g.order[home] {
 		if len(list) >= answerMost {
 			break
@@ -285,28 +281,24 @@
 		if (place < g.Share(g.domains[d].Name, service)) != inside {
 			continue
 		}
-		list = g.add(list, d, h)
+		list = g.add(list, d, subject)
 	}
 	return list
 }
 
-// spread is the golden ratio's multiplier, which spreads a hash over all bits.
-const spread = 0x9e3779b97f4a7c15
-
-// add appends up to two of a domain's instances, the caller's own first.
-func (g *Guide) add(list []lacewingramp.Endpoint, d int32, h uint64) []lacewingramp.Endpoint {
+// add appends up to two of a domain's instances. All callers of a customer
+// get the same one first: the one that gathers its quota if that is small.
+func (g *Guide) add(list []lacewingramp.Endpoint, d int32, subject lacewingramp.Subject) []lacewingramp.Endpoint {
 	all := g.instances[d]
 	first, best := 0, uint64(0)
 	for i := range all {
-		w := (h ^ all[i].hash) * spread
-		w ^= w >> 29
-		if i == 0 || w > best {
-			first, best = i, w
+		if r := quota.Rank(all[i].Name, subject); i == 0 || r > best {
+			first, best = i, r
 		}
 	}
-	list = append(list, all[first].Endpoint)
+	list = append(list, all[first])
 	if len(all) > 1 && len(list) < answerMost {
-		list = append(list, all[(first+1)%len(all)].Endpoint)
+		list = append(list, all[(first+1)%len(all)])
 	}
 	return list
 }
--- a/peer.go
+++ b/peer.go
@@ -11,6 +11,8 @@
 	Table(ctx context.Context, address string) (*Table, error)
 	// Lend asks for a loan of quota.
 	Lend(ctx context.Context, address string, a *Ask) (*Loan, error)
+	// Extend asks for another term of a loan.
+	Extend(ctx context.Context, address string, e *Extend) (*Extended, error)
 	// GiveBack ends a loan before its term.
 	GiveBack(ctx context.Context, address string, r *Return) error
 	// Give asks a holder for a shard or offers it one.
@@ -28,6 +30,7 @@
 	ServeBeat(ctx context.Context, d *Digest) (*Digest, error)
 	ServeTable(ctx context.Context) (*Table, error)
 	ServeLend(ctx context.Context, a *Ask) (*Loan, error)
+	ServeExtend(ctx context.Context, e *Extend) (*Extended, error)
 	ServeGiveBack(ctx context.Context, r *Return) error
 	ServeGive(ctx context.Context, g *Give) (*Handed, error)
 	ServeCarry(ctx context.Context, c *Carry) (*Answer, error)
