Move services to new versions, or take them back, by evidence

Cause: versions were declared but every target got traffic at once.

Change: internal/change/rollout decides from counters that every instance exchanges: a cumulative sum of log-likelihood ratios per route for failures and for slow answers, against the old version over the same time; first answers set aside as cold; a share counted down at each instance so that the fleet never exceeds it; a ramp to the deadline; rollbacks that stick, spread with heartbeats and are written to the store.

Rollouts on real connections are tested next.

--- a/digest.go
+++ b/digest.go
@@ -43,17 +43,17 @@
 	Deaths   int    `json:"deaths"`
 }
 
-// Evidence is what one instance has seen of one version on one route. All
-// fields only rise, so that reports merge by their maximum.
+// Evidence is what one instance has seen of one version on one route in one
+// rollout. All numbers only rise, so that reports merge by their maximum.
 type Evidence struct {
-	Instance string  `json:"instance"`
-	Service  string  `json:"service"`
-	Route    string  `json:"route"`
-	Version  string  `json:"version"`
-	Count    int64   `json:"count"`
-	Failures int64   `json:"failures"`
-	Slow     int64   `json:"slow"`
-	Seconds  float64 `json:"seconds"`
+	Instance string `json:"instance"`
+	Rollout  string `json:"rollout"`
+	Service  string `json:"service"`
+	Route    string `json:"route"`
+	Version  string `json:"version"`
+	Count    int64  `json:"count"`
+	Failures int64  `json:"failures"`
+	Slow     int64  `json:"slow"`
 }
 
 // Outcome is the end of a rollout, written once.
--- a/internal/entry/carrier/carrier.go
+++ b/internal/entry/carrier/carrier.go
@@ -35,10 +35,11 @@
 
 // Chooser says which version of a service a request should run on.
 type Chooser interface {
-	// Choose returns a version, or "" where any will do.
-	Choose(now time.Time, service, customer string) string
+	// Choose returns the version that a request should run on, and the one it
+	// may run on where that has no free slot.
+	Choose(now time.Time, service string) (prefer, fallback string)
 	// Observe tells what became of a request on a version.
-	Observe(now time.Time, route, version string, failed bool, took time.Duration)
+	Observe(route, service, version string, failed bool, took time.Duration)
 }
 
 // Deaths spreads the news that a target died under a request.
--- a/internal/entry/carrier/run.go
+++ b/internal/entry/carrier/run.go
@@ -84,7 +84,6 @@
 	if j.customer != nil && j.customer.Weight > 0 {
 		r.Weight = j.customer.Weight
 	}
-	r.Version = c.Chooser.Choose(c.Timer.Now(), j.route.Service, j.Customer)
 	return r
 }
 
@@ -99,6 +98,7 @@
 	if err := c.admit(now, j); err != nil {
 		return slot.Grant{}, err
 	}
+	r.Version, r.Fallback = c.Chooser.Choose(now, j.route.Service)
 	g, ok := c.State.Pool.Acquire(now, r)
 	if !ok {
 		return slot.Grant{}, lacewingramp.Refuse(lacewingramp.CauseSlots, "no free slot")
@@ -127,6 +127,7 @@
 	if c.waiting == nil {
 		c.waiting = make(map[slot.Ticket]chan slot.Grant)
 	}
+	_, r.Version = c.Chooser.Choose(c.Timer.Now(), j.route.Service)
 	ok := c.State.Pool.Enqueue(c.Timer.Now(), r)
 	if ok {
 		c.waiting[r.Ticket] = ready
@@ -200,9 +201,11 @@
 	}
 	c.release(g, result.Outcome)
 	if result.Outcome != slot.OutcomeCut {
-		now := c.Timer.Now()
 		failed := result.Outcome == slot.OutcomeFailed || result.Outcome == slot.OutcomeDied
-		c.Chooser.Observe(now, j.route.Name, g.Target.Version, failed, now.Sub(begun))
+		took := c.Timer.Now().Sub(begun)
+		c.State.Lock()
+		c.Chooser.Observe(j.route.Name, j.route.Service, g.Target.Version, failed, took)
+		c.State.Unlock()
 	}
 	return result, err
 }
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -89,6 +89,7 @@
 	renewed time.Time
 	listed  time.Time
 	agreed  agreement
+	unsaved []lacewingramp.Outcome
 	read    int64
 	audit   []Taken
 	calls   *attempt.Caller
@@ -125,21 +126,12 @@
 	i.State.Confirmed = p.Timer.Now()
 	i.Carrier = &carrier.Carrier{
 		State: i.State, Timer: p.Timer, Peer: p.Peer, Calls: i.calls,
-		Borrower: i, Chooser: anyVersion{}, Deaths: i,
+		Borrower: i, Chooser: i.State.Rollouts, Deaths: i,
 	}
 	i.Front = &front.Handler{State: i.State, Timer: p.Timer, Carrier: i.Carrier, Counter: i.Tally}
 	return i
 }
 
-// anyVersion lets every version of a service take requests.
-type anyVersion struct{}
-
-// Choose returns no version.
-func (anyVersion) Choose(time.Time, string, string) string { return "" }
-
-// Observe does nothing.
-func (anyVersion) Observe(time.Time, string, string, bool, time.Duration) {}
-
 // Start begins the instance's work.
 func (i *Instance) Start() {
 	i.every(tickPeriod, i.tick)
@@ -155,6 +147,7 @@
 func (i *Instance) begin() {
 	i.fetch()
 	i.readList()
+	i.readOutcomes()
 	i.register()
 	i.beat(i.Timer.Now())
 	i.plan(i.Timer.Now())
@@ -221,6 +214,7 @@
 	needs := i.State.Quota.Needs(now)
 	back := i.State.Quota.Returns(now)
 	renewals := i.State.Quota.Renewals(now)
+	outcomes := i.State.Rollouts.Tick(now)
 	i.State.Unlock()
 	if suspended {
 		i.once("confirm", i.confirm)
@@ -228,6 +222,9 @@
 	for _, n := range needs {
 		i.Need(n.Subject)
 	}
+	if len(outcomes) > 0 {
+		i.decided(outcomes)
+	}
 	for _, r := range renewals {
 		i.extend(r)
 	}
--- a/internal/entry/instance/instance_beat.go
+++ b/internal/entry/instance/instance_beat.go
@@ -23,6 +23,8 @@
 		Claims:      claims(i.State.Claims),
 		Marks:       i.State.Ward.Marks(now),
 		Others:      i.State.Roster.Relay(now, domain),
+		Evidence:    i.State.Rollouts.Evidence(),
+		Outcomes:    i.State.Rollouts.Outcomes(),
 	}
 	if x := i.State.Index(); x != nil {
 		d.Revision = x.Table.Revision
@@ -111,6 +113,10 @@
 	i.State.Roster.Hear(now, d)
 	i.State.Ward.Merge(now, d.Marks)
 	i.State.Quota.Hear(d.Name, d.Spares)
+	i.State.Rollouts.Hear(d.Evidence, d.Outcomes)
+	for _, o := range d.Others {
+		i.State.Rollouts.Hear(o.Digest.Evidence, o.Digest.Outcomes)
+	}
 	revision := int64(0)
 	if x := i.State.Index(); x != nil {
 		revision = x.Table.Revision
--- a/internal/entry/instance/instance_list.go
+++ b/internal/entry/instance/instance_list.go
@@ -25,6 +25,7 @@
 		i.mu.Unlock()
 		if due || i.speaks(now) {
 			i.readList()
+			i.readOutcomes()
 		}
 		if now.Sub(i.renewedAt()) >= renewPeriod {
 			i.register()
--- a/internal/entry/state/state.go
+++ b/internal/entry/state/state.go
@@ -19,6 +19,7 @@
 	"lacewingramp.example/lacewingramp"
 	"lacewingramp.example/lacewingramp/internal/call/poison"
 	"lacewingramp.example/lacewingramp/internal/call/record"
+	"lacewingramp.example/lacewingramp/internal/change/rollout"
 	"lacewingramp.example/lacewingramp/internal/config/index"
 	"lacewingramp.example/lacewingramp/internal/limit/holding"
 	"lacewingramp.example/lacewingramp/internal/limit/quota"
@@ -39,8 +40,10 @@
 	Ward    poison.Ward
 	Roster  *roster.Roster
 	Guide   *region.Guide
-	Claims  map[int]int64
-	Holding holding.Holding
+	// Rollouts decides which version a request runs on.
+	Rollouts *rollout.Manager
+	Claims   map[int]int64
+	Holding  holding.Holding
 	// Known is set once Holding has been read.
 	Known bool
 	// Confirmed is when the Table was last known to be the newest.
@@ -58,7 +61,9 @@
 		Ward:   poison.Ward{Instance: self.Name},
 		Roster: roster.New(self, seeds),
 		Guide:  region.NewGuide(self.Domain),
-		Claims: make(map[int]int64),
+
+		Rollouts: rollout.NewManager(self.Name),
+		Claims:   make(map[int]int64),
 	}
 }
 
@@ -76,6 +81,7 @@
 	}
 	s.Reconfigure(now)
 	s.Guide.Configure(x.Table)
+	s.Rollouts.Configure(x.Table)
 	s.Pool.Configure(now, x.Targets(s.Self.Domain))
 	return s.Pool.Tick(now)
 }
--- a/internal/report/page/page.go
+++ b/internal/report/page/page.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/change/rollout"
 	"lacewingramp.example/lacewingramp/internal/entry/instance"
 	"lacewingramp.example/lacewingramp/internal/limit/quota"
 	"lacewingramp.example/lacewingramp/internal/report/tally"
@@ -32,6 +33,7 @@
 	Limits      []quota.Stock         `json:"limits"`
 	Rooms       []lacewingramp.Room   `json:"rooms"`
 	Caps        []Cap                 `json:"caps"`
+	Rollouts    []rollout.Status      `json:"rollouts"`
 	Requests    []tally.Row           `json:"requests"`
 	Work        Work                  `json:"work"`
 	Faults      Faults                `json:"faults"`
@@ -97,6 +99,7 @@
 			Age: round(now.Sub(m.Heard)), Live: m.Live(now), Leaving: m.Digest.Leaving, Shards: len(m.Digest.Claims),
 		})
 	}
+	p.Rollouts = s.Rollouts.Statuses(now)
 	x := s.Index()
 	if x == nil {
 		return p
@@ -143,6 +146,7 @@
 	p.writeInstances(&b)
 	p.writeLimits(&b)
 	p.writeRegion(&b)
+	p.writeRollouts(&b)
 	p.writeRequests(&b)
 	fmt.Fprintf(&b, "\nwork     attempts %d  retries %d  hops %d  queued %d  waited %d  deaths %d\n",
 		p.Work.Attempts, p.Work.Retries, p.Work.Hops, p.Work.Queued, p.Work.Waited, p.Work.Deaths)
@@ -188,6 +192,16 @@
 	}
 }
 
+func (p *Page) writeRollouts(b *strings.Builder) {
+	for _, r := range p.Rollouts {
+		fmt.Fprintf(b, "rollout %s of %s to %s: %s, share %.1f%%, seen %d here and elsewhere", r.Rollout, r.Service, r.Version, r.State, r.Share*100, r.Seen)
+		if r.Reason != "" {
+			fmt.Fprintf(b, "\n  %s", r.Reason)
+		}
+		b.WriteString("\n")
+	}
+}
+
 func (p *Page) writeRequests(b *strings.Builder) {
 	fmt.Fprintf(b, "\n%-16s %-14s %8s %7s %9s %9s  %s\n", "customer", "route", "ran", "unclear", "p50", "p99", "not run")
 	for _, r := range p.Requests {
--- a/internal/steer/slot/slot.go
+++ b/internal/steer/slot/slot.go
@@ -40,11 +40,13 @@
 // Ticket names a waiting request.
 type Ticket uint64
 
-// Request is what the pool needs to know of a request.
+// Request is what the pool needs to know of a request. It runs on Version, or
+// on Fallback where that has no free slot. Empty names stand for any.
 type Request struct {
 	Ticket   Ticket
 	Service  string
 	Version  string
+	Fallback string
 	Customer string
 	Weight   float64
 	Patient  bool
@@ -191,6 +193,10 @@
 
 func (p *Pool) acquire(now time.Time, s *service, r Request) (Grant, bool) {
 	k := p.pick(now, s, r)
+	if k == nil && r.Fallback != "" && r.Fallback != r.Version {
+		r.Version = r.Fallback
+		k = p.pick(now, s, r)
+	}
 	if k == nil {
 		return Grant{}, false
 	}
