Test every decision by itself, and mend what the tests found

Cause: only quota and rollouts had tests of their own.

A domain now grows only on the very same split. - two routes of one pattern, or one that net/http can not read, passed the check and would have stopped every instance that took the table. - a cap of nothing passed.

--- a/internal/entry/front/front_steer.go
+++ b/internal/entry/front/front_steer.go
@@ -48,9 +48,9 @@
 	h.State.Unlock()
 	out := Steered{
 		Service: q.Service, Domain: a.Home, Revision: x.Table.Revision,
-		Lifetime: int(a.Lifetime / time.Second), Instances: make([]Addressed, 0, len(a.Instances)),
+		Lifetime: int(a.Lifetime / time.Second), Instances: make([]Addressed, 0, len(a.Instances())),
 	}
-	for _, e := range a.Instances {
+	for _, e := range a.Instances() {
 		out.Instances = append(out.Instances, Addressed{Address: e.Caller, Domain: e.Domain})
 	}
 	stampDomain := h.State.Self.Domain
--- a/internal/limit/holding/holding_split.go
+++ b/internal/limit/holding/holding_split.go
@@ -54,11 +54,13 @@
 }
 
 // MayGrow reports whether a domain may take its whole part of the split of
-// revision: the key of every other domain shows that it has come down to it.
-// A domain whose key stays behind keeps its old part, and the others wait.
+// revision: the key of every other domain is at that very split, and so has
+// come down to it. A key that is ahead may have skipped this split and kept
+// more; one that stays behind keeps its old part. In both cases the others
+// wait.
 func MayGrow(revision int64, domain string, all []Holding) bool {
 	for _, h := range all {
-		if h.Domain != domain && h.Split < revision {
+		if h.Domain != domain && h.Split != revision {
 			return false
 		}
 	}
--- /dev/null
+++ b/internal/limit/holding/holding_test.go
@@ -0,0 +1,153 @@
+package holding
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/limit/quota"
+)
+
+var now = time.Unix(1_800_000_000, 0)
+
+func held(names ...string) Holding {
+	h := Holding{Domain: "uy1"}
+	for i := range h.Shards {
+		h.Shards[i] = Shard{Holder: names[i%len(names)], Epoch: 1}
+	}
+	return h
+}
+
+func live(names ...string) []Member {
+	var all []Member
+	for _, n := range names {
+		all = append(all, Member{Name: n, Heard: now})
+	}
+	return all
+}
+
+var _ = ginkgo.Describe("the plan for a domain's shards", func() {
+	ginkgo.It("has a joining instance ask the one with the most", func() {
+		steps := Plan(View{Self: "b", Now: now, Known: true, Holding: held("a"), Members: live("a", "b")})
+		gomega.Expect(steps).To(gomega.ConsistOf(Step{Kind: StepAsk, Shard: 0, From: "a", Epoch: 1}))
+		gomega.Expect(Plan(View{Self: "a", Now: now, Known: true, Holding: held("a", "b"), Members: live("a", "b")})).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("takes a dead holder's shards only after the fence and a failed fresh connection", func() {
+		v := View{Self: "b", Now: now, Known: true, Holding: held("a"), Members: live("a", "b")}
+		v.Members[0].Heard = now.Add(-quota.Fence - time.Second)
+		gomega.Expect(Plan(v)[0].Kind).To(gomega.Equal(StepAsk))
+		v.Members[0].Failed = true
+		gomega.Expect(Plan(v)).To(gomega.HaveLen(quota.Shards))
+		gomega.Expect(Plan(v)[0].Kind).To(gomega.Equal(StepTake))
+		v.Members[0].Heard = now.Add(-quota.Fence + time.Second)
+		gomega.Expect(Plan(v)[0].Kind).To(gomega.Equal(StepAsk))
+	})
+
+	ginkgo.It("takes nothing that an instance claims under a newer epoch", func() {
+		v := View{Self: "b", Now: now, Known: true, Holding: held("a"), Members: live("a", "b", "c")}
+		v.Members[0].Gone = true
+		v.Members[2].Claims = []lacewingramp.Claim{{Shard: 1, Epoch: 2}}
+		for _, s := range Plan(v) {
+			gomega.Expect(s.Shard).NotTo(gomega.Equal(1))
+		}
+	})
+
+	ginkgo.It("lets exactly one instance take each shard", func() {
+		members := live("a", "b", "c", "d")
+		members[0].Gone = true
+		count := make(map[int]int)
+		for _, self := range []string{"b", "c", "d"} {
+			for _, s := range Plan(View{Self: self, Now: now, Known: true, Holding: held("a", "b"), Members: members}) {
+				if s.Kind == StepTake {
+					count[s.Shard]++
+				}
+			}
+		}
+		gomega.Expect(count).To(gomega.HaveLen(quota.Shards / 2))
+		for _, n := range count {
+			gomega.Expect(n).To(gomega.Equal(1))
+		}
+	})
+})
+
+var _ = ginkgo.Describe("the split of limits among domains", func() {
+	ginkgo.It("never adds up to more than a whole", func() {
+		rapid.Check(ginkgo.GinkgoT(), func(t *rapid.T) {
+			var table lacewingramp.Table
+			for i := range rapid.IntRange(1, 60).Draw(t, "domains") {
+				table.Domains = append(table.Domains, lacewingramp.Domain{
+					Name: string(rune('a' + i)), Region: rapid.SampledFrom([]string{"r", "s"}).Draw(t, "region"),
+					Weight: rapid.Float64Range(0, 1e6).Draw(t, "weight"),
+				})
+			}
+			var sum lacewingramp.Units
+			caps := make(map[string]lacewingramp.Units)
+			for _, p := range Split(&table) {
+				sum += p.Customers
+				caps[p.Region] += p.Caps
+			}
+			for _, c := range append([]lacewingramp.Units{sum}, caps["r"], caps["s"]) {
+				if c > lacewingramp.Whole {
+					t.Fatalf("the parts add up to %d of %d", c, lacewingramp.Whole)
+				}
+			}
+		})
+	})
+
+	ginkgo.It("grows nowhere before every other domain has come down, whatever the order", func() {
+		rapid.Check(ginkgo.GinkgoT(), splitCase)
+	})
+})
+
+// splitCase lets domains take edits of their weights into force in any order,
+// and writes their keys as internal/entry/instance does.
+func splitCase(t *rapid.T) {
+	const domains = 3
+	tables := []*lacewingramp.Table{{}}
+	for rev := 1; rev <= 4; rev++ {
+		table := &lacewingramp.Table{Split: int64(rev)}
+		for i := range domains {
+			table.Domains = append(table.Domains, lacewingramp.Domain{
+				Name: string(rune('a' + i)), Region: "r", Weight: float64(rapid.IntRange(0, 5).Draw(t, "weight")),
+			})
+		}
+		tables = append(tables, table)
+	}
+	keys := make([]Holding, domains)
+	seen := make([]int, domains)
+	for i := range keys {
+		name := string(rune('a' + i))
+		keys[i] = Holding{Domain: name, Split: 1, Part: Split(tables[1])[name]}
+		seen[i] = 1
+	}
+	t.Repeat(map[string]func(*rapid.T){
+		"see": func(t *rapid.T) {
+			i := rapid.IntRange(0, domains-1).Draw(t, "domain")
+			seen[i] = rapid.IntRange(seen[i], len(tables)-1).Draw(t, "revision")
+		},
+		"write": func(t *rapid.T) {
+			i := rapid.IntRange(0, domains-1).Draw(t, "domain")
+			table := tables[seen[i]]
+			next := Split(table)[keys[i].Domain]
+			switch {
+			case keys[i].Split < table.Split:
+				keys[i].Part, keys[i].Split = Shrink(keys[i].Part, next), table.Split
+			case MayGrow(table.Split, keys[i].Domain, keys):
+				keys[i].Part = next
+			}
+		},
+		"": func(t *rapid.T) {
+			var sum lacewingramp.Units
+			for _, k := range keys {
+				sum += k.Part.Customers
+			}
+			if sum > lacewingramp.Whole {
+				t.Fatalf("the domains' keys add up to %d of %d", sum, lacewingramp.Whole)
+			}
+		},
+	})
+}
--- /dev/null
+++ b/internal/platform/etcd/etcd_test.go
@@ -0,0 +1,104 @@
+package etcd_test
+
+import (
+	"bytes"
+	"context"
+	"net/http/httptest"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/examples"
+	"lacewingramp.example/lacewingramp/internal/config/ledger"
+	"lacewingramp.example/lacewingramp/internal/config/sheet"
+	"lacewingramp.example/lacewingramp/internal/platform/etcd"
+	"lacewingramp.example/lacewingramp/internal/platform/gateway"
+	"lacewingramp.example/lacewingramp/internal/platform/memory"
+)
+
+var _ = ginkgo.Describe("the store over its wire protocol", func() {
+	var m *memory.Store
+	var c *etcd.Client
+	ginkgo.BeforeEach(func() {
+		m = &memory.Store{}
+		s := httptest.NewServer(gateway.New(m))
+		ginkgo.DeferCleanup(s.Close)
+		c = &etcd.Client{Address: s.URL}
+	})
+
+	ginkgo.It("swaps, reads, lists and deletes", func(ctx context.Context) {
+		one, err := c.Swap(ctx, "a/1", []byte("x"), 0, 0)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = c.Swap(ctx, "a/1", []byte("y"), 0, 0)
+		gomega.Expect(err).To(gomega.MatchError(lacewingramp.ErrConflict))
+		_, err = c.Swap(ctx, "a/1", []byte("z"), one, 0)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		i, err := c.Get(ctx, "a/1")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(string(i.Value)).To(gomega.Equal("z"))
+		_, err = c.Swap(ctx, "b", []byte("other"), 0, 0)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		all, err := c.Range(ctx, "a/")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(all).To(gomega.HaveLen(1))
+		gomega.Expect(c.Delete(ctx, "a/1")).To(gomega.Succeed())
+		gomega.Expect(c.Revision(ctx, "a/1")).To(gomega.BeZero())
+	})
+
+	ginkgo.It("ends what hangs on a lease that lapses", func(ctx context.Context) {
+		id, err := c.Grant(ctx, 60)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = c.Swap(ctx, "i/1", []byte("x"), 0, id)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(c.Renew(ctx, id)).To(gomega.Succeed())
+		m.SetFaults(memory.Faults{Lapse: true})
+		m.SetFaults(memory.Faults{})
+		gomega.Expect(c.Renew(ctx, id)).To(gomega.MatchError(lacewingramp.ErrNoLease))
+		gomega.Expect(c.Range(ctx, "i/")).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("tells a call that failed from one that may have taken effect", func(ctx context.Context) {
+		m.SetFaults(memory.Faults{Down: true})
+		_, err := c.Get(ctx, "a")
+		gomega.Expect(err).To(gomega.MatchError(lacewingramp.ErrDown))
+		m.SetFaults(memory.Faults{Lost: 1})
+		short, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+		defer cancel()
+		_, err = c.Swap(short, "a", []byte("x"), 0, 0)
+		gomega.Expect(err).To(gomega.MatchError(lacewingramp.ErrUnclear))
+		gomega.Expect(c.Revision(ctx, "a")).NotTo(gomega.BeZero())
+	})
+
+	ginkgo.It("watches from a revision, and counts a waiting watch as one call", func(ctx context.Context) {
+		first, err := c.Swap(ctx, "a", []byte("x"), 0, 0)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		seen := make(chan lacewingramp.Change, 10)
+		watch, cancel := context.WithCancel(ctx)
+		defer cancel()
+		go func() { _ = c.Watch(watch, "a", 0, func(c lacewingramp.Change) { seen <- c }) }()
+		gomega.Eventually(seen, "30s").Should(gomega.Receive(gomega.HaveField("Revision", first)))
+		_, err = c.Swap(ctx, "a", []byte("y"), first, 0)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Eventually(seen, "30s").Should(gomega.Receive(gomega.HaveField("Value", []byte("y"))))
+		gomega.Expect(m.Calls().Watches).To(gomega.Equal(int64(1)))
+	})
+
+	ginkgo.It("keeps the audit trail with the table and refuses a stale base", func(ctx context.Context) {
+		t, err := sheet.Decode("t.csv", bytes.NewReader(examples.Kavach))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		l := &ledger.Ledger{Store: c}
+		one, err := l.Put(ctx, t, ledger.Commit{Operator: "ana"})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(one.Split).To(gomega.Equal(int64(1)))
+		t.Customers[0].Rate++
+		two, err := l.Put(ctx, t, ledger.Commit{Operator: "ravi", Base: 1})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(two.Split).To(gomega.Equal(int64(1)))
+		gomega.Expect(two.History.Edits).To(gomega.HaveLen(2))
+		gomega.Expect(two.History.Edits[1].Lines).To(gomega.HaveLen(2))
+		_, err = l.Put(ctx, t, ledger.Commit{Operator: "ana", Base: 1})
+		gomega.Expect(err).To(gomega.MatchError(ledger.ErrBase))
+	})
+})
--- a/internal/steer/region/region.go
+++ b/internal/steer/region/region.go
@@ -59,9 +59,23 @@
 
 // Answer lists instances in the order in which a caller should try them.
 type Answer struct {
-	Instances []lacewingramp.Endpoint
-	Home      string
-	Lifetime  time.Duration
+	Home     string
+	Lifetime time.Duration
+
+	list  [answerMost]*lacewingramp.Endpoint
+	count int
+}
+
+// Instances returns the instances. They are shared and not to be changed.
+func (a *Answer) Instances() []*lacewingramp.Endpoint {
+	return a.list[:a.count]
+}
+
+func (a *Answer) add(e *lacewingramp.Endpoint) {
+	if a.count < answerMost {
+		a.list[a.count] = e
+		a.count++
+	}
 }
 
 // Load is what is known of one domain and service. A cap that is in force, or
@@ -98,15 +112,12 @@
 	domains   []lacewingramp.Domain
 	index     map[string]int32
 	order     [][]int32
-	shares    map[shareKey]*share
+	shares    map[string][]share
 	instances [][]lacewingramp.Endpoint
 }
 
-type shareKey struct {
-	domain  string
-	service string
-}
-
+// share is the part of a domain's callers that stay there, for one service. A
+// zero moment stands for one that nothing has been observed of.
 type share struct {
 	part float64
 	at   time.Time
@@ -114,11 +125,12 @@
 
 // NewGuide returns the Guide of an instance in the domain called home.
 func NewGuide(home string) *Guide {
-	return &Guide{home: home, blocks: &bart.Table[int32]{}, shares: make(map[shareKey]*share)}
+	return &Guide{home: home, blocks: &bart.Table[int32]{}, shares: make(map[string][]share)}
 }
 
 // Configure takes a Table into force.
 func (g *Guide) Configure(t *lacewingramp.Table) {
+	old := g.index
 	g.domains = append([]lacewingramp.Domain(nil), t.Domains...)
 	sort.Slice(g.domains, func(i, j int) bool { return g.domains[i].Name < g.domains[j].Name })
 	g.index = make(map[string]int32, len(g.domains))
@@ -126,10 +138,24 @@
 		g.index[d.Name] = int32(i)
 	}
 	g.instances = make([][]lacewingramp.Endpoint, len(g.domains))
+	g.keepShares(old)
 	g.order = orders(g.domains, t.Links)
 	g.blocks = blocks(t.Blocks, g.index)
 }
 
+// keepShares carries the shares over to new places of the domains.
+func (g *Guide) keepShares(old map[string]int32) {
+	for service, list := range g.shares {
+		next := make([]share, len(g.domains))
+		for name, i := range old {
+			if j, ok := g.index[name]; ok {
+				next[j] = list[i]
+			}
+		}
+		g.shares[service] = next
+	}
+}
+
 func blocks(all []lacewingramp.Block, index map[string]int32) *bart.Table[int32] {
 	table := &bart.Table[int32]{}
 	for _, b := range all {
@@ -193,13 +219,19 @@
 // that loads says nothing about keeps its share.
 func (g *Guide) Observe(now time.Time, loads []Load) {
 	for _, l := range loads {
-		k := shareKey{domain: l.Domain, service: l.Service}
-		s, ok := g.shares[k]
+		i, ok := g.index[l.Domain]
 		if !ok {
-			s = &share{part: 1, at: now}
-			g.shares[k] = s
+			continue
+		}
+		list := g.shares[l.Service]
+		if list == nil {
+			list = make([]share, len(g.domains))
+			g.shares[l.Service] = list
 		}
-		s.move(now, l.use())
+		if list[i].at.IsZero() {
+			list[i] = share{part: 1, at: now}
+		}
+		list[i].move(now, l.use())
 	}
 }
 
@@ -217,10 +249,18 @@
 
 // Share returns the part of a domain's callers that stay there.
 func (g *Guide) Share(domain, service string) float64 {
-	if s, ok := g.shares[shareKey{domain: domain, service: service}]; ok {
-		return s.part
+	i, ok := g.index[domain]
+	if !ok {
+		return 1
 	}
-	return 1
+	return stays(g.shares[service], i)
+}
+
+func stays(list []share, domain int32) float64 {
+	if list == nil || list[domain].at.IsZero() {
+		return 1
+	}
+	return list[domain].part
 }
 
 // Near lists all domains from the nearest to a domain to the farthest.
@@ -256,39 +296,41 @@
 	if !ok {
 		return Answer{Lifetime: Lifetime}
 	}
-	a := Answer{
-		Instances: make([]lacewingramp.Endpoint, 0, answerMost),
-		Home:      g.domains[home].Name,
-		Lifetime:  Lifetime,
+	a := Answer{Home: g.domains[home].Name, Lifetime: Lifetime}
+	p := pass{
+		home: home, shares: g.shares[q.Service],
+		subject: lacewingramp.Subject{Kind: lacewingramp.SubjectCustomer, Name: q.Customer},
+		place:   float64(xxhash.Sum64String(q.Caller)>>11) / (1 << 53),
 	}
-	subject := lacewingramp.Subject{Kind: lacewingramp.SubjectCustomer, Name: q.Customer}
-	place := float64(xxhash.Sum64String(q.Caller)>>11) / (1 << 53)
-	a.Instances = g.fill(a.Instances, home, q.Service, subject, place, true)
-	a.Instances = g.fill(a.Instances, home, q.Service, subject, place, false)
+	g.fill(&a, p, true)
+	g.fill(&a, p, false)
 	return a
 }
 
+// pass is what one look-up carries through the list of domains.
+type pass struct {
+	home    int32
+	shares  []share
+	subject lacewingramp.Subject
+	place   float64
+}
+
 // fill adds the instances of the domains in which the caller's place lies
 // within the share, or with inside false those in which it does not.
-func (g *Guide) fill(list []lacewingramp.Endpoint, home int32, service string, subject lacewingramp.Subject, place float64, inside bool) []lacewingramp.Endpoint {
-	for _, d := range g.order[home] {
-		if len(list) >= answerMost {
-			break
+func (g *Guide) fill(a *Answer, p pass, inside bool) {
+	for _, d := range g.order[p.home] {
+		if a.count == answerMost {
+			return
 		}
-		if len(g.instances[d]) == 0 {
-			continue
-		}
-		if (place < g.Share(g.domains[d].Name, service)) != inside {
-			continue
+		if len(g.instances[d]) > 0 && (p.place < stays(p.shares, d)) == inside {
+			g.add(a, d, p.subject)
 		}
-		list = g.add(list, d, subject)
 	}
-	return list
 }
 
 // add appends up to two of a domain's instances. All callers of a customer
 // get the same one first: the one that gathers its quota if that is small.
-func (g *Guide) add(list []lacewingramp.Endpoint, d int32, subject lacewingramp.Subject) []lacewingramp.Endpoint {
+func (g *Guide) add(a *Answer, d int32, subject lacewingramp.Subject) {
 	all := g.instances[d]
 	first, best := 0, uint64(0)
 	for i := range all {
@@ -296,9 +338,8 @@
 			first, best = i, r
 		}
 	}
-	list = append(list, all[first])
-	if len(all) > 1 && len(list) < answerMost {
-		list = append(list, all[(first+1)%len(all)])
+	a.add(&all[first])
+	if len(all) > 1 {
+		a.add(&all[(first+1)%len(all)])
 	}
-	return list
 }
--- /dev/null
+++ b/internal/steer/region/suite_test.go
@@ -0,0 +1,13 @@
+package region
+
+import (
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+func TestRegion(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "region")
+}
--- a/table_check.go
+++ b/table_check.go
@@ -48,6 +48,7 @@
 	faults  Faults
 	names   map[string]nameSet
 	version map[string]string
+	mux     *http.ServeMux
 }
 
 func newChecker(t *Table) *checker {
@@ -55,6 +56,7 @@
 		table:   t,
 		names:   make(map[string]nameSet),
 		version: make(map[string]string),
+		mux:     http.NewServeMux(),
 	}
 }
 
@@ -155,8 +157,8 @@
 	if _, ok := routeMethods[r.Method]; !ok {
 		c.fault("route", index, "method", r.Method, "one of GET, HEAD, POST, PUT, PATCH, DELETE")
 	}
-	if err := tryPattern(r.Method + " " + r.Path); err != nil || !strings.HasPrefix(r.Path, "/") {
-		c.fault("route", index, "path", r.Path, "a path pattern of net/http such as /orders/{id}")
+	if err := c.pattern(r.Method + " " + r.Path); err != nil || !strings.HasPrefix(r.Path, "/") {
+		c.fault("route", index, "path", r.Path, "a path pattern of net/http such as /orders/{id}, other than that of another route")
 	}
 	if r.Path == "/steer" {
 		c.fault("route", index, "path", r.Path, "a path other than /steer, which answers look-ups")
@@ -167,13 +169,15 @@
 	}
 }
 
-func tryPattern(pattern string) (err error) {
+// pattern adds a route's pattern to those before it. net/http panics on one
+// that it can not read or that conflicts with another.
+func (c *checker) pattern(pattern string) (err error) {
 	defer func() {
 		if p := recover(); p != nil {
 			err = fmt.Errorf("%v", p)
 		}
 	}()
-	http.NewServeMux().Handle(pattern, http.NotFoundHandler())
+	c.mux.Handle(pattern, http.NotFoundHandler())
 	return nil
 }
 
@@ -218,6 +222,9 @@
 		c.known("cap", i, "region", p.Region)
 		c.between("cap", i, "rate", p.Rate, 0, maxRate)
 		c.between("cap", i, "inflight", float64(p.Inflight), 0, maxRate)
+		if p.Rate == 0 && p.Inflight == 0 {
+			c.fault("cap", i, "rate", "0", "a rate or an inflight over 0")
+		}
 		if (p.From == 0) != (p.Until == 0) {
 			c.fault("cap", i, "until", "", "both from and until, or neither")
 		}
@@ -237,6 +244,9 @@
 		c.name("rollout", i, r.Name)
 		c.known("rollout", i, "service", r.Service)
 		c.known("rollout", i, "version", r.Version)
+		if s, ok := c.version[r.Version]; ok && s != r.Service {
+			c.fault("rollout", i, "version", r.Version, "a version of service "+r.Service)
+		}
 		c.between("rollout", i, "share", r.Share, 0, 1)
 		if !r.Deadline.After(r.Start) {
 			c.fault("rollout", i, "until", r.Deadline.Format(time.RFC3339), "a time after start")
