Prove caps, poison, keys, restores, drains, cuts and rollouts on real connections

Cause: these promises had only tests of single decisions.

Change: a network that a test can cut between domains and the platform, a time service moved to another time of day, and seven tests that bring the failures about in one process over real HTTP and gRPC.

--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -18,6 +18,7 @@
 
 	"google.golang.org/grpc"
 
+	"lacewingramp.example/lacewingramp"
 	"lacewingramp.example/lacewingramp/internal/entry/instance"
 	"lacewingramp.example/lacewingramp/internal/peer/link"
 )
@@ -43,6 +44,9 @@
 	// CallerTLS and PeerTLS are nil where TLS is off.
 	CallerTLS *tls.Config
 	PeerTLS   *tls.Config
+	// Wrap, if set, stands between the instance and its peers, as a test's
+	// network does.
+	Wrap func(lacewingramp.Peer) lacewingramp.Peer
 }
 
 // Server is an instance with its listeners.
@@ -74,6 +78,9 @@
 		s.Instance.Peer = v.listeners[1].Addr().String()
 	}
 	p.Peer = v.client
+	if s.Wrap != nil {
+		p.Peer = s.Wrap(v.client)
+	}
 	v.Instance = instance.New(s.Instance, p)
 	v.callers = newHTTP(v.Instance.Front)
 	v.callers.TLSConfig = s.CallerTLS
--- a/internal/operator/trial/fleet.go
+++ b/internal/operator/trial/fleet.go
@@ -46,6 +46,8 @@
 	Targets map[string]*target.Target
 	Servers []*server.Server
 	Log     zerolog.Logger
+	Timer   lacewingramp.Timer
+	Net     *Net
 
 	storeAddress string
 	closers      []func()
@@ -55,7 +57,15 @@
 // for each domain that is named. The addresses of the table's targets are
 // replaced.
 func Open(ctx context.Context, t *lacewingramp.Table, domains []string) (*Fleet, error) {
-	f := &Fleet{Table: t, Store: &memory.Store{}, Targets: make(map[string]*target.Target), Log: zerolog.Nop()}
+	return OpenAt(ctx, t, domains, wall.Timer{})
+}
+
+// OpenAt is Open with another time service.
+func OpenAt(ctx context.Context, t *lacewingramp.Table, domains []string, timer lacewingramp.Timer) (*Fleet, error) {
+	f := &Fleet{
+		Table: t, Store: &memory.Store{}, Targets: make(map[string]*target.Target), Log: zerolog.Nop(),
+		Timer: timer, Net: &Net{},
+	}
 	address, err := f.serve(gateway.New(f.Store))
 	if err != nil {
 		return nil, err
@@ -126,10 +136,15 @@
 	s, err := server.Open(server.Settings{
 		Instance:     instance.Settings{Name: name, Domain: domain, Seeds: seeds},
 		CallerListen: anyPort, PeerListen: anyPort, OperatorListen: anyPort,
-	}, instance.Parts{Store: f.Client(), Timer: wall.Timer{}, Log: f.Log.With().Str("instance", name).Logger()})
+		Wrap: func(p lacewingramp.Peer) lacewingramp.Peer { return &cutPeer{Peer: p, net: f.Net, domain: domain} },
+	}, instance.Parts{
+		Store: &cutStore{Store: f.Client(), net: f.Net, domain: domain},
+		Timer: f.Timer, Log: f.Log.With().Str("instance", name).Logger(),
+	})
 	if err != nil {
 		return nil, err
 	}
+	f.Net.place(s.PeerAddress(), domain)
 	s.Start()
 	f.Servers = append(f.Servers, s)
 	return s, nil
