Work out the size to design for from measured slopes

Change: make slopes measures eleven slopes over four or five sizes each and writes docs/slopes.json; the page's table is worked out from the file, and a test fails where the two disagree.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -29,5 +29,8 @@
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
 
+slopes:
+	$(GO) run ./cmd/slopes
+
 clean:
 	rm -rf bin
--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -158,6 +158,25 @@
 		d.everywhere(2)
 	})
 
+	ginkgo.It("loads no target beyond its slots when an instance freezes and comes back", func() {
+		d := deploy("uy1", "uy1", "uy2")
+		wait, summary := d.load(0.3, 25*time.Second)
+		time.Sleep(2 * time.Second)
+		frozen := d.entries[0]
+		frozen.signal(syscall.SIGSTOP)
+		gomega.Eventually(func() int { return len(d.entries[1].report().Shards) }, patience, period).Should(gomega.Equal(16))
+		frozen.signal(syscall.SIGCONT)
+		wait.Wait()
+		ginkgo.GinkgoWriter.Println(text(*summary))
+		gomega.Eventually(func() int64 { return frozen.report().Faults.Pauses }, patience, period).Should(gomega.BeNumerically(">", 0))
+		runs := d.runs()
+		gomega.Expect(runs.Over).To(gomega.BeZero())
+		for _, n := range runs.Keys {
+			gomega.Expect(n).To(gomega.Equal(1))
+		}
+		d.ready()
+	})
+
 	ginkgo.It("runs no order twice when instances are killed under load", func() {
 		d := deploy("uy1", "uy1", "uy2", "uy2")
 		wait, summary := d.load(0.3, 20*time.Second)
@@ -178,6 +197,7 @@
 			}
 		}
 		gomega.Expect(twice).To(gomega.BeZero())
+		gomega.Expect(runs.Over).To(gomega.BeZero())
 		gomega.Expect(len(runs.Keys)).To(gomega.BeNumerically(">", 0))
 		gomega.Expect((*summary).Wrong()).To(gomega.BeZero())
 		gomega.Expect(runs.Authorized).To(gomega.BeZero())
--- a/internal/peer/link/codec.go
+++ b/internal/peer/link/codec.go
@@ -59,9 +59,20 @@
 
 // Size returns how many bytes a message takes on the wire, less framing.
 func Size(v any) int {
+	return len(Encode(v))
+}
+
+// Encode returns a message as it goes on the wire, or nothing where it can
+// not be encoded.
+func Encode(v any) []byte {
 	raw, err := theCodec.Marshal(v)
 	if err != nil {
-		return 0
+		return nil
 	}
-	return len(raw)
+	return raw
+}
+
+// Decode reads a message that Encode has written, and lets it check itself.
+func Decode(raw []byte, v any) error {
+	return theCodec.Unmarshal(raw, v)
 }
--- /dev/null
+++ b/internal/proof/slope/slope_test.go
@@ -0,0 +1,35 @@
+package slope
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+func TestSlope(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "slope")
+}
+
+var _ = ginkgo.Describe("docs/CAPACITY.md", func() {
+	ginkgo.It("shows what docs/slopes.json comes to", func() {
+		file, err := os.Open("../../../docs/slopes.json")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		defer func() { _ = file.Close() }()
+		f, err := Read(file)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		page, err := os.ReadFile("../../../docs/CAPACITY.md")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(strings.Contains(string(page), Page(f))).To(gomega.BeTrue(), "run: go run ./cmd/slopes page")
+		gomega.Expect(Page(f)).NotTo(gomega.ContainSubstring("NaN"))
+	})
+
+	ginkgo.It("is worked out from lines through at least four points", func() {
+		s := fit("x", "n", "ns", []float64{1, 2, 3, 4}, []float64{12, 14, 16, 18})
+		gomega.Expect(s.At(10)).To(gomega.BeNumerically("~", 30, 1e-9))
+		gomega.Expect(s.Residual).To(gomega.BeNumerically("<", 1e-9))
+	})
+})
