Gather small limits where their demand surely is

Seen in traces of one customer: two instances took turns as its home by chance; a loan of part counted as a loan of all; what came back to a giver stayed there; and spent tokens stayed with those whose requests waited, so that the home's capacity ran out.

Change: the home moves only when the demand elsewhere is larger by 2.5 standard deviations; a loan says whether it is of all; what is left is asked for again; spent tokens go back at the next tick.

Ruled out: thresholds of 10 and 20 tokens, 2 and 3 standard deviations.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -2,7 +2,7 @@
 LINT = $(GO) run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.12.2
 STRINGER = $(GO) run golang.org/x/tools/cmd/stringer@v0.52.0
 
-.PHONY: all build run test check lint fmt generate bench slopes clean
+.PHONY: all build run test check red lint fmt generate bench slopes clean
 
 all: build
 
@@ -17,6 +17,9 @@
 check: build
 	$(GO) test ./...
 
+red:
+	LACEWINGRAMP_RED=1 $(GO) test ./internal/limit/quota -ginkgo.focus "refuses nothing"
+
 lint:
 	$(LINT) run ./...
 
--- a/internal/limit/quota/bucket.go
+++ b/internal/limit/quota/bucket.go
@@ -187,6 +187,12 @@
 	return p
 }
 
+// averageTime is the time in seconds over which a demand is averaged.
+func averageTime(demand float64) float64 {
+	over := demandSamples / math.Max(1, demand)
+	return math.Min(demandSlowest.Seconds(), math.Max(demandFastest.Seconds(), over))
+}
+
 // measure folds what was offered since the last call into the demand.
 func (k *bucket) measure(now time.Time) {
 	d := now.Sub(k.measured)
@@ -195,8 +201,7 @@
 		return
 	}
 	current := k.offered / d.Seconds()
-	over := demandSamples / math.Max(1, math.Max(k.demand, current))
-	over = math.Min(demandSlowest.Seconds(), math.Max(demandFastest.Seconds(), over))
+	over := averageTime(math.Max(k.demand, current))
 	k.demand += (1 - math.Exp(-d.Seconds()/over)) * (current - k.demand)
 	k.offered = 0
 	k.measured = now
--- a/internal/limit/quota/quota_borrow.go
+++ b/internal/limit/quota/quota_borrow.go
@@ -137,13 +137,35 @@
 	if from == 0 || !k.active(now) || b.home(s, k) != b.name {
 		return false
 	}
-	have := 0
+	return k.loansOfAll(now) < from || b.left(s, k)
+}
+
+// loansOfAll counts the loans by which others have given all that they had.
+func (k *bucket) loansOfAll(now time.Time) int {
+	n := 0
 	for _, l := range k.borrowed {
 		if l.all && l.until.Sub(now) > goneAhead {
-			have++
+			n++
 		}
 	}
-	return have < from
+	return n
+}
+
+// left reports whether an instance that could give has something of a small
+// limit, because a part came back to it after it had given all.
+func (b *Book) left(s lacewingramp.Subject, k *bucket) bool {
+	lists := [][]string{b.siblings}
+	if b.gathering(s, k) == gatherFleet {
+		lists = append(lists, b.others)
+	}
+	for _, names := range lists {
+		for _, n := range names {
+			if k.rivals[n].Rate > 0 {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // Ask turns a part of a need into a message. The term of a loan that answers
@@ -184,7 +206,7 @@
 		return false
 	}
 	k.accrue(now)
-	k.borrowed = append(k.borrowed, borrowed{id: loan.ID, lender: lender, parcel: loan.Parcel, until: until, all: a.all})
+	k.borrowed = append(k.borrowed, borrowed{id: loan.ID, lender: lender, parcel: loan.Parcel, until: until, all: a.all && loan.All})
 	k.rate += loan.Parcel.Rate
 	k.burst += loan.Parcel.Burst
 	k.level += loan.Parcel.Level
@@ -249,11 +271,14 @@
 	if l.all {
 		return k.active(now) && home
 	}
+	if thin && l.parcel.Rate == 0 {
+		return k.waiting > 0 && k.level >= 1
+	}
 	if _, waiting := k.total(now); waiting > 0 {
 		return true
 	}
 	if l.parcel.Rate == 0 {
-		return !thin && k.level >= 1 && k.demand > activeDemand && l.until.Sub(now) > returnAhead
+		return k.level >= 1 && k.demand > activeDemand && l.until.Sub(now) > returnAhead
 	}
 	left := (k.own.Rate + k.rate - l.parcel.Rate).Of(k.limit.Rate)
 	demand, _ := k.total(now)
--- a/internal/limit/quota/quota_choose.go
+++ b/internal/limit/quota/quota_choose.go
@@ -45,7 +45,7 @@
 	}
 	for _, p := range spares {
 		k, ok := b.buckets[p.Subject]
-		if !ok || (p.Demand == 0 && !p.Gathers) {
+		if !ok || (p.Demand == 0 && p.Rate == 0 && !p.Gathers) {
 			continue
 		}
 		if k.rivals == nil {
@@ -55,46 +55,84 @@
 	}
 }
 
-// stay is how many times its demand an instance counts that has gathered a
-// limit already, so that the limit does not move to and fro.
-const stay = 4
+// Policy of moving a small limit's home to where the demand is.
+const (
+	// surely is by how many standard deviations the demand elsewhere must be
+	// larger, so that chance does not move a limit to and fro.
+	surely = 2.5
+	// clearly is how many times larger it must be.
+	clearly = 1.5
+)
+
+// contender is an instance at which a small limit may be gathered.
+type contender struct {
+	name    string
+	rank    uint64
+	demand  float64
+	gathers bool
+}
+
+// before orders contenders by demand and then by rank.
+func (c contender) before(o contender) bool {
+	if c.demand != o.demand {
+		return c.demand > o.demand
+	}
+	return c.above(o)
+}
+
+// above orders contenders by rank, which does not change.
+func (c contender) above(o contender) bool {
+	return c.rank > o.rank || (c.rank == o.rank && c.name < o.name)
+}
 
 // home is the instance at which a small limit is gathered. Over the fleet it
-// is the one where the demand is; within a domain, and without any demand,
-// the one with the highest hash, which look-ups name first to callers.
+// stays where it is until the demand elsewhere is surely larger; within a
+// domain, and without any demand, it is the one with the highest rank, which
+// look-ups name first to callers.
 func (b *Book) home(s lacewingramp.Subject, k *bucket) string {
-	lists := [][]string{b.siblings}
 	fleet := b.gathering(s, k) == gatherFleet
-	if fleet {
-		lists = append(lists, b.others)
+	var first, holder contender
+	see := func(c contender) {
+		if !fleet {
+			c.demand, c.gathers = 0, false
+		}
+		if first.name == "" || c.before(first) {
+			first = c
+		}
+		if c.gathers && (holder.name == "" || c.above(holder)) {
+			holder = c
+		}
 	}
-	best, most := b.name, Rank(b.name, s)
-	var demand float64
-	if fleet {
-		demand = score(k.demand, k.hasGathered())
+	if !b.leaves {
+		see(contender{name: b.name, rank: Rank(b.name, s), demand: k.demand, gathers: k.hasGathered()})
 	}
-	if b.leaves {
-		most, demand = 0, -1
+	for _, n := range b.siblings {
+		see(k.contender(n, s))
 	}
-	for _, names := range lists {
-		for _, n := range names {
-			h, d := Rank(n, s), 0.0
-			if p, ok := k.rivals[n]; ok && fleet {
-				d = score(p.Demand, p.Gathers)
-			}
-			if d > demand || (d == demand && h > most) {
-				best, most, demand = n, h, d
-			}
+	if fleet {
+		for _, n := range b.others {
+			see(k.contender(n, s))
 		}
 	}
-	return best
+	if holder.name != "" && !first.outdoes(holder) {
+		return holder.name
+	}
+	if first.name == "" {
+		return b.name
+	}
+	return first.name
 }
 
-func score(demand float64, gathers bool) float64 {
-	if gathers {
-		return demand * stay
-	}
-	return demand
+func (k *bucket) contender(name string, s lacewingramp.Subject) contender {
+	p := k.rivals[name]
+	return contender{name: name, rank: Rank(name, s), demand: p.Demand, gathers: p.Gathers}
+}
+
+// outdoes reports whether the demand at c is surely larger than at o, as far
+// as averages over that time can tell.
+func (c contender) outdoes(o contender) bool {
+	over := math.Max(1, averageTime(c.demand))
+	return c.demand > clearly*o.demand && c.demand-o.demand > surely*math.Sqrt((c.demand+o.demand)/over)
 }
 
 func (k *bucket) hasGathered() bool {
@@ -178,7 +216,7 @@
 	fleet := b.gathering(n.Subject, k) == gatherFleet
 	var all []Portion
 	for _, o := range offers {
-		if (o.Sibling || fleet) && !k.holdsAllOf(o.Lender) {
+		if (o.Sibling || fleet) && (!k.holdsAllOf(o.Lender) || o.Spare.Rate > 0) {
 			all = append(all, Portion{Lender: o.Lender, Need: n})
 		}
 	}
--- a/internal/limit/quota/quota_lend.go
+++ b/internal/limit/quota/quota_lend.go
@@ -47,6 +47,7 @@
 		rate, _, tokens := b.spare(now, k)
 		if b.gathering(s, k) != gatherNot {
 			tokens = math.Max(tokens, math.Floor(k.level-float64(k.waiting)))
+			rate = k.own.Rate
 		}
 		p := lacewingramp.Spare{Subject: s, Rate: rate.Of(k.limit.Rate), Tokens: tokens}
 		if b.gathering(s, k) == gatherFleet && k.active(now) {
@@ -87,6 +88,7 @@
 		return none
 	}
 	none.Parcel = k.split(rate, burst, tokens)
+	none.All = b.yields(ask, k)
 	k.lent = append(k.lent, lent{
 		id: ask.ID, parcel: lacewingramp.Parcel{Rate: rate, Burst: burst}, until: now.Add(Term + Margin),
 	})
@@ -130,7 +132,7 @@
 // portion is what an Ask gets: all there is where the domain gathers a small
 // limit at one instance, else what can be spared.
 func (b *Book) portion(now time.Time, k *bucket, ask lacewingramp.Ask) (rate, burst lacewingramp.Units, tokens float64) {
-	if ask.All && b.home(ask.Subject, k) == ask.ID.Borrower {
+	if b.yields(ask, k) {
 		return k.own.Rate, k.own.Burst, k.level
 	}
 	rate, burst, tokens = b.spare(now, k)
@@ -140,6 +142,12 @@
 	return rate, min(burst, want+1), tokens
 }
 
+// yields reports whether an Ask is that of the home of a small limit, which
+// gets all that there is.
+func (b *Book) yields(ask lacewingramp.Ask, k *bucket) bool {
+	return ask.All && b.home(ask.Subject, k) == ask.ID.Borrower
+}
+
 // sublend lends whole tokens out of all that has been gathered at this
 // instance. The loan ends before any loan that it is made of.
 func (b *Book) sublend(now time.Time, k *bucket, ask lacewingramp.Ask) lacewingramp.Loan {
--- a/loan.go
+++ b/loan.go
@@ -22,12 +22,14 @@
 }
 
 // Loan is a lender's answer. The borrower uses Parcel until Term has passed
-// since it sent the Ask, on its own clock. An empty parcel is a refusal.
+// since it sent the Ask, on its own clock. An empty parcel is a refusal. All is
+// set on a loan of all that the lender has.
 type Loan struct {
 	ID      LoanID        `json:"id"`
 	Subject Subject       `json:"subject"`
 	Parcel  Parcel        `json:"parcel"`
 	Term    time.Duration `json:"term"`
+	All     bool          `json:"all,omitempty"`
 }
 
 // Return brings a loan back before its term.
