Keep links between regions within their bandwidth

Cause: the table had each link's bandwidth, and nothing held it.

Change: a hop to another region first spends its bytes there and the usual size of its route's answers back, as parcels of the link; what does not fit is refused as not run, cause link, and goes elsewhere.

A link's parts are not lent yet, so one instance gets only its share.

--- a/cause.go
+++ b/cause.go
@@ -23,6 +23,7 @@
 	CauseStopping              // stopping
 	CauseTable                 // table
 	CausePaused                // paused
+	CauseLink                  // link
 	causeEnd                   // end
 )
 
--- a/cause_string.go
+++ b/cause_string.go
@@ -24,12 +24,13 @@
 	_ = x[CauseStopping-13]
 	_ = x[CauseTable-14]
 	_ = x[CausePaused-15]
-	_ = x[causeEnd-16]
+	_ = x[CauseLink-16]
+	_ = x[causeEnd-17]
 }
 
-const _Cause_name = "noneroutekeystaleratecapslotsdeadlinepoisonrepeatsizetargetpeerstoppingtablepausedend"
+const _Cause_name = "noneroutekeystaleratecapslotsdeadlinepoisonrepeatsizetargetpeerstoppingtablepausedlinkend"
 
-var _Cause_index = [...]uint8{0, 4, 9, 12, 17, 21, 24, 29, 37, 43, 49, 53, 59, 63, 71, 76, 82, 85}
+var _Cause_index = [...]uint8{0, 4, 9, 12, 17, 21, 24, 29, 37, 43, 49, 53, 59, 63, 71, 76, 82, 86, 89}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- a/internal/config/index/index.go
+++ b/internal/config/index/index.go
@@ -21,6 +21,15 @@
 	"lacewingramp.example/lacewingramp/internal/limit/schedule"
 )
 
+// Links count kilobytes.
+const (
+	bitsPerMegabit = 1e6
+	bitsPerKilo    = 8 * 1e3
+	// linkBurst is the part of a link's bandwidth, in seconds, that may pass
+	// at once.
+	linkBurst = 0.25
+)
+
 // capBurst is the part of a cap's rate, in seconds, that may start at once.
 const capBurst = 0.1
 
@@ -136,6 +145,16 @@
 	return d, ok
 }
 
+// Linked reports whether the bandwidth between two regions is bounded.
+func (x *Index) Linked(from, to string) bool {
+	for _, l := range x.Table.Links {
+		if l.Bandwidth > 0 && (l.Region == from && l.Peer == to || l.Peer == from && l.Region == to) {
+			return true
+		}
+	}
+	return false
+}
+
 // Caps lists the caps of a region.
 func (x *Index) Caps(region string) []Scheduled {
 	var all []Scheduled
@@ -176,9 +195,23 @@
 			c.Caps[s.Cap.Name] = true
 		}
 	}
+	for _, l := range x.Table.Links {
+		kilos := l.Bandwidth * bitsPerMegabit / bitsPerKilo
+		if kilos <= 0 {
+			continue
+		}
+		limit := lacewingramp.Limit{Rate: kilos, Burst: kilos * linkBurst}
+		c.Limits[LinkSubject(l.Region, l.Peer)] = limit
+		c.Limits[LinkSubject(l.Peer, l.Region)] = limit
+	}
 	return c
 }
 
+// LinkSubject is the bandwidth from one region to another.
+func LinkSubject(from, to string) lacewingramp.Subject {
+	return lacewingramp.Subject{Kind: lacewingramp.SubjectLink, Name: from + ">" + to}
+}
+
 // LongestDeadline returns the longest deadline of any route.
 func (x *Index) LongestDeadline() lacewingramp.Duration {
 	var most lacewingramp.Duration
--- a/internal/entry/carrier/carrier.go
+++ b/internal/entry/carrier/carrier.go
@@ -65,6 +65,7 @@
 	running map[slot.Ticket]running
 	repeats map[string]chan struct{}
 	worst   map[string]int
+	answers map[string]float64
 	stats   Stats
 }
 
@@ -146,11 +147,16 @@
 		return nil, lacewingramp.Refuse(lacewingramp.CauseDeadline, "no time left")
 	}
 	change(&r)
+	x, err := c.cross(j, to)
+	if err != nil {
+		return nil, err
+	}
 	c.stats.Hops.Add(1)
 	a, err := c.Peer.Carry(ctx, to.Peer, &r)
 	if err != nil {
 		return nil, err
 	}
+	c.crossed(x, a)
 	if a.ID != j.ID {
 		return nil, &lacewingramp.Refusal{
 			Verdict: lacewingramp.MayHaveRun, Cause: lacewingramp.CausePeer, Detail: "the answer belongs to another request",
--- a/internal/operator/trial/failure_test.go
+++ b/internal/operator/trial/failure_test.go
@@ -256,6 +256,37 @@
 		gomega.Expect(f.Ready(ctx)).To(gomega.Succeed())
 	})
 
+	ginkgo.It("keeps a link between regions within its bandwidth", func() {
+		t := bank("uy1", "cu1")
+		t.Targets = slices.DeleteFunc(t.Targets, func(k lacewingramp.Target) bool { return k.Domain == "cu1" && k.Service == "recipes" })
+		const megabits = 0.8
+		for i := range t.Links {
+			t.Links[i].Bandwidth = megabits
+		}
+		f := open(t, wall.Timer{}, "uy1", "cu1")
+		c := load.NewCaller(load.Identity{Customer: "andes-ski", Key: examples.KeyPrefix + "andes-ski", Domain: "cu1"}, []string{f.Servers[1].CallerAddress()})
+		defer c.Close()
+		begun := time.Now()
+		for range 400 {
+			r := c.Do(context.Background(), recipe)
+			if r.Cause == lacewingramp.CauseLink {
+				gomega.Expect(r.Verdict).To(gomega.Equal(lacewingramp.NotRun))
+			}
+		}
+		took := time.Since(begun).Seconds()
+		ran := int64(0)
+		for name, k := range f.Targets {
+			if strings.HasPrefix(name, "recipes-uy1") {
+				ran += k.Runs().Customers["andes-ski"]
+			}
+		}
+		const kilobytes = megabits * 1000 / 8
+		hops := float64(f.Servers[1].Instance.Carrier.Stats().Hops.Load())
+		ginkgo.GinkgoWriter.Printf("%d requests over the link of %.0f KB/s in %.1f s\n", ran, kilobytes, took)
+		gomega.Expect(hops).To(gomega.BeNumerically(">", 0))
+		gomega.Expect(hops).To(gomega.BeNumerically("<=", kilobytes/2*took+kilobytes*0.25/2+1))
+	})
+
 	ginkgo.It("takes a bad version back over real connections", func() {
 		t := bank("uy1", "uy2")
 		t.Versions = append(t.Versions, lacewingramp.Version{Name: "recipes-2", Service: "recipes"})
