Take test ports from below those of connections

Cause: with two test runs at a time one replacement test of ten waited 60 s for an instance that never came: its port, free when chosen, is taken to have been given to a connection before it was bound (not seen directly; the log had no other fault).

Change: ports 15000 to 29999, from a place that follows the process id.

--- a/e2e/deployment_test.go
+++ b/e2e/deployment_test.go
@@ -78,11 +78,29 @@
 	serial  int
 }
 
+// Ports are taken from below those that the system gives to connections, so
+// that none is lost between its choice and its use.
+const (
+	firstPort = 15000
+	ports     = 15000
+	portStep  = 97
+)
+
+var nextPort = os.Getpid() * portStep % ports
+
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for range ports {
+		nextPort = (nextPort + 1) % ports
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		gomega.Expect(l.Close()).To(gomega.Succeed())
+		return address
+	}
+	ginkgo.Fail("no free port")
+	return ""
 }
 
 // deploy starts the bank's table with an instance for each named domain.
