Find shards that nobody claims, and let parts grow after an edit of weights

Cause: reading the tree anew showed two ways to stand still. A shard whose hand-over was lost, or whose receiver died before the key showed it, stayed with a living holder that does not claim it, for ever. After an edit of weights every domain came down, but none read the keys again to grow, as all shards were claimed. One kill test of eight waited 60 s for shards that nobody held; whether this was why was not seen. Claims that came up while the key was being written were left out of it.

Change: a shard that its living holder has not claimed for longer than the fence is taken under a newer epoch; claims the key does not show, and parts that are not whole yet, are reasons to read it.

--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -46,17 +46,12 @@
 // MaxBodyBytes is the largest body of a request.
 const MaxBodyBytes = 1 << 20
 
-// Counter is told of every request that has ended.
-type Counter interface {
-	Count(customer, route string, verdict lacewingramp.Verdict, cause lacewingramp.Cause, took time.Duration)
-}
-
 // Handler answers callers. Exported fields are set before its first use.
 type Handler struct {
 	State   *state.State
 	Timer   lacewingramp.Timer
 	Carrier *carrier.Carrier
-	Counter Counter
+	Counter lacewingramp.Counter
 	// Closed tells callers to go elsewhere once it is set, while requests
 	// are still served.
 	Closed atomic.Bool
--- a/internal/entry/state/state.go
+++ b/internal/entry/state/state.go
@@ -46,6 +46,8 @@
 	Holding  holding.Holding
 	// Known is set once Holding has been read.
 	Known bool
+	// orphans is since when nobody has claimed a shard whose holder lives.
+	orphans [quota.Shards]time.Time
 	// Confirmed is when the Table was last known to be the newest.
 	Confirmed time.Time
 
@@ -144,3 +146,55 @@
 	}
 	return len(held) >= quota.Shards
 }
+
+// Unrecorded reports whether the domain's key does not show every shard of
+// this instance. It needs the lock.
+func (s *State) Unrecorded() bool {
+	for n, e := range s.Claims {
+		if e > s.Holding.Shards[n].Epoch {
+			return true
+		}
+	}
+	return false
+}
+
+// Unsplit reports whether the domain does not use its whole part of the
+// Table's split yet. It needs the lock.
+func (s *State) Unsplit() bool {
+	return s.Holding.Part != holding.Split(s.Index().Table)[s.Self.Domain]
+}
+
+// Orphans finds the shards whose holder lives and has not claimed them for
+// longer than the fence. It needs the lock.
+func (s *State) Orphans(now time.Time, h holding.Holding) [quota.Shards]bool {
+	var found [quota.Shards]bool
+	for n, k := range h.Shards {
+		if !s.unclaimed(now, n, k.Holder) {
+			s.orphans[n] = time.Time{}
+			continue
+		}
+		if s.orphans[n].IsZero() {
+			s.orphans[n] = now
+		}
+		found[n] = now.Sub(s.orphans[n]) > quota.Fence
+	}
+	return found
+}
+
+// unclaimed reports whether a holder is known to live and does not claim its
+// shard.
+func (s *State) unclaimed(now time.Time, shard int, holder string) bool {
+	if holder == s.Self.Name {
+		return !s.Holds(shard)
+	}
+	m, ok := s.Roster.Find(holder)
+	if !ok || !m.Live(now) {
+		return false
+	}
+	for _, c := range m.Digest.Claims {
+		if c.Shard == shard {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/limit/holding/holding.go
+++ b/internal/limit/holding/holding.go
@@ -97,6 +97,10 @@
 	Known   bool
 	Holding Holding
 	Members []Member
+	// Orphans are shards whose holder lives and has not claimed them for
+	// longer than the fence: their hand-over was lost, or its receiver died
+	// before the key showed it.
+	Orphans [quota.Shards]bool
 }
 
 // Plan lists what the instance should do now, at most one shard asked for and
@@ -111,7 +115,7 @@
 	}
 	var steps []Step
 	for i, s := range v.Holding.Shards {
-		if p.dead(s.Holder) && p.heir(i) == v.Self && !p.claimed(i, s.Epoch) {
+		if (v.Orphans[i] || p.dead(s.Holder)) && p.heir(i) == v.Self && !p.claimed(i, s.Epoch) {
 			steps = append(steps, Step{Kind: StepTake, Shard: i, From: s.Holder, Epoch: s.Epoch})
 		}
 	}
--- a/internal/limit/holding/holding_test.go
+++ b/internal/limit/holding/holding_test.go
@@ -56,6 +56,14 @@
 		}
 	})
 
+	ginkgo.It("takes a shard that its living holder does not claim", func() {
+		v := View{Self: "b", Now: now, Known: true, Holding: held("a", "b"), Members: live("a", "b")}
+		v.Orphans[5] = true
+		gomega.Expect(Plan(v)).To(gomega.ConsistOf(gomega.HaveField("Shard", 5)))
+		v.Members[0].Claims = []lacewingramp.Claim{{Shard: 5, Epoch: 2}}
+		gomega.Expect(Plan(v)).To(gomega.BeEmpty())
+	})
+
 	ginkgo.It("lets exactly one instance take each shard", func() {
 		members := live("a", "b", "c", "d")
 		members[0].Gone = true
--- a/internal/operator/trial/failure_test.go
+++ b/internal/operator/trial/failure_test.go
@@ -256,6 +256,33 @@
 		gomega.Expect(f.Ready(ctx)).To(gomega.Succeed())
 	})
 
+	ginkgo.It("moves the parts of limits when weights change, and finds a shard lost on its way", func() {
+		f := open(bank("uy1", "uy2"), wall.Timer{}, "uy1", "uy1", "uy2")
+		part := func(n int) func() float64 {
+			return func() float64 {
+				s := f.Servers[n].Instance.State
+				s.Lock()
+				defer s.Unlock()
+				return s.Quota.Part().Customers.Of(1)
+			}
+		}
+		gomega.Expect(part(0)()).To(gomega.BeNumerically("~", 0.5, 0.01))
+		f.put(func(t *lacewingramp.Table) { t.Domains[0].Weight = 3 })
+		gomega.Eventually(part(2), patience).Should(gomega.BeNumerically("~", 0.25, 0.01))
+		gomega.Eventually(part(0), patience).Should(gomega.BeNumerically("~", 0.75, 0.01))
+		gomega.Eventually(part(1), patience).Should(gomega.BeNumerically("~", 0.75, 0.01))
+		first := f.Servers[0].Instance
+		first.State.Lock()
+		shard := first.State.Quota.Held()[0]
+		first.State.Unlock()
+		got, err := first.ServeGive(context.Background(), &lacewingramp.Give{From: "nobody", Shard: shard})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(got.Given).To(gomega.BeTrue())
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		gomega.Expect(f.Ready(ctx)).To(gomega.Succeed())
+	})
+
 	ginkgo.It("keeps a link between regions within its bandwidth", func() {
 		t := bank("uy1", "cu1")
 		t.Targets = slices.DeleteFunc(t.Targets, func(k lacewingramp.Target) bool { return k.Domain == "cu1" && k.Service == "recipes" })
--- a/internal/peer/link/link_client.go
+++ b/internal/peer/link/link_client.go
@@ -24,17 +24,12 @@
 	TLS *tls.Config
 
 	mu          sync.Mutex
-	connections map[string]*connection
-}
-
-// connection counts the bytes that pass through it.
-type connection struct {
-	*grpc.ClientConn
+	connections map[string]*grpc.ClientConn
 }
 
 const reconnectDelay = 200 * time.Millisecond
 
-func (c *Client) dial(address string) (*connection, error) {
+func (c *Client) dial(address string) (*grpc.ClientConn, error) {
 	creds := insecure.NewCredentials()
 	if c.TLS != nil {
 		creds = credentials.NewTLS(c.TLS)
@@ -54,10 +49,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{ClientConn: conn}, nil
+	return conn, nil
 }
 
-func (c *Client) connection(address string) (*connection, error) {
+func (c *Client) connection(address string) (*grpc.ClientConn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if conn, ok := c.connections[address]; ok {
@@ -68,14 +63,14 @@
 		return nil, err
 	}
 	if c.connections == nil {
-		c.connections = make(map[string]*connection)
+		c.connections = make(map[string]*grpc.ClientConn)
 	}
 	c.connections[address] = conn
 	return conn, nil
 }
 
 // reset ends a connection, so that the next call opens a fresh one.
-func (c *Client) reset(address string, conn *connection) {
+func (c *Client) reset(address string, conn *grpc.ClientConn) {
 	c.mu.Lock()
 	if c.connections[address] == conn {
 		delete(c.connections, address)
@@ -94,7 +89,7 @@
 	}
 }
 
-func invoke[O any](ctx context.Context, conn *connection, name string, in any) (*O, error) {
+func invoke[O any](ctx context.Context, conn *grpc.ClientConn, name string, in any) (*O, error) {
 	out := new(O)
 	if err := conn.Invoke(ctx, "/"+serviceName+"/"+name, in, out); err != nil {
 		return nil, err
