Remember a customer's first instance in look-ups, and shorten reports

Digests carried numbers of eight bytes that one or two express.

Change: the first instance per customer and domain is worked out once for each list of instances; reported numbers are rounded up to an eighth and encoded at their shortest.

--- a/internal/limit/quota/quota_lend.go
+++ b/internal/limit/quota/quota_lend.go
@@ -49,9 +49,9 @@
 			tokens = math.Max(tokens, math.Floor(k.level-float64(k.waiting)))
 			rate = k.own.Rate
 		}
-		p := lacewingramp.Spare{Subject: s, Rate: rate.Of(k.limit.Rate), Tokens: tokens}
+		p := lacewingramp.Spare{Subject: s, Rate: coarse(rate.Of(k.limit.Rate)), Tokens: coarse(tokens)}
 		if b.gathering(s, k) == gatherFleet && k.active(now) {
-			p.Demand, p.Gathers = k.demand, k.hasGathered()
+			p.Demand, p.Gathers = coarse(k.demand), k.hasGathered()
 		}
 		if p.Rate > 0 || p.Tokens >= 1 || p.Demand > 0 {
 			all = append(all, p)
@@ -60,6 +60,13 @@
 	return all
 }
 
+// coarse rounds a reported number up to an eighth, which takes few bytes.
+func coarse(v float64) float64 {
+	return math.Ceil(v*coarseness) / coarseness
+}
+
+const coarseness = 8
+
 // Lend answers an Ask out of what the instance can spare. The loan is split
 // off before the answer leaves. An Ask that comes twice gets one loan.
 func (b *Book) Lend(now time.Time, ask lacewingramp.Ask) lacewingramp.Loan {
--- a/internal/peer/link/codec.go
+++ b/internal/peer/link/codec.go
@@ -19,7 +19,7 @@
 var theCodec = newCodec()
 
 func newCodec() codec {
-	out, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	out, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano, ShortestFloat: cbor.ShortestFloat16}.EncMode()
 	if err != nil {
 		panic(err)
 	}
--- a/internal/steer/region/region.go
+++ b/internal/steer/region/region.go
@@ -104,8 +104,7 @@
 	return use
 }
 
-// Guide answers look-ups. It is not safe for use by more than one goroutine,
-// but for Answer, which many may call while nothing else is called.
+// Guide answers look-ups. It is not safe for use by more than one goroutine.
 type Guide struct {
 	home      string
 	blocks    *bart.Table[int32]
@@ -114,6 +113,7 @@
 	order     [][]int32
 	shares    map[string][]share
 	instances [][]lacewingramp.Endpoint
+	firsts    map[string][]int32
 }
 
 // share is the part of a domain's callers that stay there, for one service. A
@@ -125,7 +125,7 @@
 
 // NewGuide returns the Guide of an instance in the domain called home.
 func NewGuide(home string) *Guide {
-	return &Guide{home: home, blocks: &bart.Table[int32]{}, shares: make(map[string][]share)}
+	return &Guide{home: home, blocks: &bart.Table[int32]{}, shares: make(map[string][]share), firsts: make(map[string][]int32)}
 }
 
 // Configure takes a Table into force.
@@ -139,6 +139,7 @@
 	}
 	g.instances = make([][]lacewingramp.Endpoint, len(g.domains))
 	g.keepShares(old)
+	clear(g.firsts)
 	g.order = orders(g.domains, t.Links)
 	g.blocks = blocks(t.Blocks, g.index)
 }
@@ -213,6 +214,7 @@
 		}
 	}
 	g.instances = lists
+	clear(g.firsts)
 }
 
 // Observe moves the shares of callers that stay at their domain. A domain
@@ -332,14 +334,39 @@
 // get the same one first: the one that gathers its quota if that is small.
 func (g *Guide) add(a *Answer, d int32, subject lacewingramp.Subject) {
 	all := g.instances[d]
+	first := g.first(d, subject)
+	a.add(&all[first])
+	if len(all) > 1 {
+		a.add(&all[(first+1)%len(all)])
+	}
+}
+
+// firstsMost is how many customers' first instances are remembered.
+const firstsMost = 4096
+
+// first finds the instance of a domain with the highest rank for a customer.
+// It is worked out once for each list of instances.
+func (g *Guide) first(d int32, subject lacewingramp.Subject) int {
+	known := g.firsts[subject.Name]
+	if known == nil {
+		if len(g.firsts) >= firstsMost {
+			clear(g.firsts)
+		}
+		known = make([]int32, len(g.domains))
+		g.firsts[subject.Name] = known
+	}
+	if known[d] == 0 {
+		known[d] = 1 + highest(g.instances[d], subject)
+	}
+	return int(known[d] - 1)
+}
+
+func highest(all []lacewingramp.Endpoint, subject lacewingramp.Subject) int32 {
 	first, best := 0, uint64(0)
 	for i := range all {
 		if r := quota.Rank(all[i].Name, subject); i == 0 || r > best {
 			first, best = i, r
 		}
 	}
-	a.add(&all[first])
-	if len(all) > 1 {
-		a.add(&all[(first+1)%len(all)])
-	}
+	return int32(first)
 }
