Recall loans before a shard is handed over

Change: a holder first asks its borrowers for its loans back, for 0.2 s at most; the borrower stops before it answers. What does not come back goes along as before. The random fleets and the traces know the new call.

--- a/internal/entry/instance/instance_loan.go
+++ b/internal/entry/instance/instance_loan.go
@@ -145,3 +145,43 @@
 	i.State.Quota.TakeBack(i.Timer.Now(), *r)
 	return nil
 }
+
+// recallTimeout is how long a hand-over waits for loans to come back.
+const recallTimeout = 200 * time.Millisecond
+
+// recall asks for the loans that are out, before a shard is handed over. One
+// that does not come back goes along as a loan of the next holder.
+func (i *Instance) recall() {
+	i.State.Lock()
+	all := i.State.Quota.Recalls(i.Timer.Now())
+	i.State.Unlock()
+	var wait sync.WaitGroup
+	for _, r := range all {
+		wait.Go(func() { i.recallOne(r) })
+	}
+	wait.Wait()
+}
+
+func (i *Instance) recallOne(r quota.Recalling) {
+	address := i.address(r.Borrower)
+	if address == "" {
+		return
+	}
+	ctx, cancel := i.callContext(recallTimeout)
+	defer cancel()
+	back, err := i.Peer.Recall(ctx, address, &r.Extend)
+	if err != nil || back.ID != r.Extend.ID {
+		return
+	}
+	i.State.Lock()
+	defer i.State.Unlock()
+	i.State.Quota.TakeBack(i.Timer.Now(), *back)
+}
+
+// ServeRecall ends a loan that its lender would like back.
+func (i *Instance) ServeRecall(_ context.Context, e *lacewingramp.Extend) (*lacewingramp.Return, error) {
+	i.State.Lock()
+	defer i.State.Unlock()
+	r, _ := i.State.Quota.Recall(i.Timer.Now(), *e)
+	return &r, nil
+}
--- a/internal/entry/instance/instance_shard.go
+++ b/internal/entry/instance/instance_shard.go
@@ -211,6 +211,7 @@
 		i.accept(g.Offer)
 		return &lacewingramp.Handed{Given: true, Shard: g.Offer.Shard}, nil
 	}
+	i.recall()
 	return i.give(g.Shard), nil
 }
 
--- a/internal/entry/instance/instance_stop.go
+++ b/internal/entry/instance/instance_stop.go
@@ -67,6 +67,7 @@
 	defer cancel()
 	for ctx.Err() == nil {
 		left := 0
+		i.recall()
 		for shard := range quota.Shards {
 			if i.claims(shard) && !i.offer(shard) {
 				left++
--- a/internal/limit/quota/call_string.go
+++ b/internal/limit/quota/call_string.go
@@ -27,12 +27,13 @@
 	_ = x[CallPeers-16]
 	_ = x[CallHear-17]
 	_ = x[CallLeave-18]
-	_ = x[callEnd-19]
+	_ = x[CallRecall-19]
+	_ = x[callEnd-20]
 }
 
-const _Call_name = "configureholddropforfeittickconfirmtakeretrywaitasklendborrowreturnsbackextendextendedpeershearleaveend"
+const _Call_name = "configureholddropforfeittickconfirmtakeretrywaitasklendborrowreturnsbackextendextendedpeershearleaverecallend"
 
-var _Call_index = [...]uint8{0, 9, 13, 17, 24, 28, 35, 39, 44, 48, 51, 55, 61, 68, 72, 78, 86, 91, 95, 100, 103}
+var _Call_index = [...]uint8{0, 9, 13, 17, 24, 28, 35, 39, 44, 48, 51, 55, 61, 68, 72, 78, 86, 91, 95, 100, 106, 109}
 
 func (i Call) String() string {
 	idx := int(i) - 0
--- a/internal/limit/quota/fleet_test.go
+++ b/internal/limit/quota/fleet_test.go
@@ -203,6 +203,30 @@
 	}
 }
 
+// recall has a lender ask for all its loans back.
+func (f *fleet) recall(n *node, there, back transit) {
+	if !f.running(n) {
+		return
+	}
+	for _, r := range n.book.Recalls(f.now) {
+		borrower := f.named(r.Borrower)
+		f.carry(there, func(now time.Time) {
+			if !f.running(borrower) {
+				return
+			}
+			g, ok := borrower.book.Recall(now, r.Extend)
+			if !ok {
+				return
+			}
+			f.carry(back, func(now time.Time) {
+				if f.running(n) {
+					n.book.TakeBack(now, g)
+				}
+			})
+		})
+	}
+}
+
 func (f *fleet) named(name string) *node {
 	for _, n := range f.nodes {
 		if n.name == name {
--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -43,6 +43,7 @@
 			f.borrow(node(t), node(t), need, drawTransit(t), drawTransit(t))
 		},
 		"extend": func(t *rapid.T) { f.extend(node(t), drawTransit(t), drawTransit(t)) },
+		"recall": func(t *rapid.T) { f.recall(node(t), drawTransit(t), drawTransit(t)) },
 		"return": func(t *rapid.T) { f.giveBack(node(t), drawTransit(t)) },
 		"hand": func(t *rapid.T) {
 			n := node(t)
--- a/internal/limit/quota/trace.go
+++ b/internal/limit/quota/trace.go
@@ -36,6 +36,7 @@
 	CallPeers                 // peers
 	CallHear                  // hear
 	CallLeave                 // leave
+	CallRecall                // recall
 	callEnd                   // end
 )
 
--- a/internal/operator/trial/net.go
+++ b/internal/operator/trial/net.go
@@ -95,6 +95,14 @@
 	return p.Peer.Extend(ctx, address, e)
 }
 
+// Recall asks a borrower to end a loan.
+func (p *cutPeer) Recall(ctx context.Context, address string, e *lacewingramp.Extend) (*lacewingramp.Return, error) {
+	if err := p.net.parted(ctx, p.domain, address); err != nil {
+		return nil, err
+	}
+	return p.Peer.Recall(ctx, address, e)
+}
+
 // GiveBack ends a loan.
 func (p *cutPeer) GiveBack(ctx context.Context, address string, r *lacewingramp.Return) error {
 	if err := p.net.parted(ctx, p.domain, address); err != nil {
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -64,6 +64,7 @@
 		}),
 		describe("Lend", lacewingramp.PeerService.ServeLend),
 		describe("Extend", lacewingramp.PeerService.ServeExtend),
+		describe("Recall", lacewingramp.PeerService.ServeRecall),
 		describe("GiveBack", func(s lacewingramp.PeerService, ctx context.Context, r *lacewingramp.Return) (*Empty, error) {
 			return &Empty{}, s.ServeGiveBack(ctx, r)
 		}),
--- a/internal/peer/link/link_client.go
+++ b/internal/peer/link/link_client.go
@@ -133,6 +133,11 @@
 	return call[lacewingramp.Extended](ctx, c, address, "Extend", e)
 }
 
+// Recall asks a borrower to end a loan.
+func (c *Client) Recall(ctx context.Context, address string, e *lacewingramp.Extend) (*lacewingramp.Return, error) {
+	return call[lacewingramp.Return](ctx, c, address, "Recall", e)
+}
+
 // GiveBack ends a loan before its term.
 func (c *Client) GiveBack(ctx context.Context, address string, r *lacewingramp.Return) error {
 	_, err := call[Empty](ctx, c, address, "GiveBack", r)
--- a/internal/trace/replay/replay.go
+++ b/internal/trace/replay/replay.go
@@ -181,6 +181,8 @@
 		p.book.Borrow(now, a.Name, *a.Loan)
 	case c == quota.CallBack && a.Return != nil:
 		p.book.TakeBack(now, *a.Return)
+	case c == quota.CallRecall && a.Extend != nil:
+		p.book.Recall(now, *a.Extend)
 	case c == quota.CallExtend && a.Extend != nil:
 		p.book.Extend(now, *a.Extend)
 	case c == quota.CallExtended && a.Extend != nil && a.Extended != nil && a.Moment != nil:
--- a/peer.go
+++ b/peer.go
@@ -13,6 +13,9 @@
 	Lend(ctx context.Context, address string, a *Ask) (*Loan, error)
 	// Extend asks for another term of a loan.
 	Extend(ctx context.Context, address string, e *Extend) (*Extended, error)
+	// Recall asks a borrower to end a loan at once. A Return without an id means
+	// that it does not.
+	Recall(ctx context.Context, address string, e *Extend) (*Return, error)
 	// GiveBack ends a loan before its term.
 	GiveBack(ctx context.Context, address string, r *Return) error
 	// Give asks a holder for a shard or offers it one.
@@ -31,6 +34,7 @@
 	ServeTable(ctx context.Context) (*Table, error)
 	ServeLend(ctx context.Context, a *Ask) (*Loan, error)
 	ServeExtend(ctx context.Context, e *Extend) (*Extended, error)
+	ServeRecall(ctx context.Context, e *Extend) (*Return, error)
 	ServeGiveBack(ctx context.Context, r *Return) error
 	ServeGive(ctx context.Context, g *Give) (*Handed, error)
 	ServeCarry(ctx context.Context, c *Carry) (*Answer, error)
