--- a/internal/proof/slope/measure.go
+++ b/internal/proof/slope/measure.go
@@ -14,6 +14,7 @@
 	"lacewingramp.example/lacewingramp/internal/limit/quota"
 	"lacewingramp.example/lacewingramp/internal/peer/link"
 	"lacewingramp.example/lacewingramp/internal/peer/roster"
+	"lacewingramp.example/lacewingramp/internal/report/tally"
 	"lacewingramp.example/lacewingramp/internal/steer/region"
 )
 
@@ -37,6 +38,8 @@
 		along("table apply", "targets", "ns", []float64{50, 100, 200, 400}, tableApply),
 		along("block memory", "blocks", "bytes", []float64{200_000, 400_000, 800_000, 1_600_000}, blockMemory),
 		along("look-up time", "domains", "ns", []float64{3, 6, 12, 24, 42}, lookupTime),
+		along("evidence bytes", "routes", "bytes", []float64{1, 2, 4, 8}, evidenceBytes),
+		along("tally memory", "rows", "bytes", []float64{20, 40, 80, 160}, tallyMemory),
 		along("record memory", "records", "bytes", []float64{2000, 4000, 8000, 16000}, recordMemory),
 	}}
 }
@@ -209,6 +212,33 @@
 	return nanoseconds(func() { g.Answer(q) })
 }
 
+// evidenceBytes is what a digest carries of one rollout on n routes: what the
+// instance has seen of the old and the new version.
+func evidenceBytes(n int) float64 {
+	d := digest("uy1", 0, 0)
+	before := link.Size(d)
+	for i := range n {
+		for _, v := range []string{"recipes-1", "recipes-2"} {
+			d.Evidence = append(d.Evidence, lacewingramp.Evidence{
+				Instance: d.Name, Rollout: "recipes@2027-01-31T18:00:00Z", Service: "recipes", Route: fmt.Sprintf("route-%d", i),
+				Version: v, Count: 100000, Failures: 300, Slow: 2000,
+			})
+		}
+	}
+	return float64(link.Size(d) - before)
+}
+
+// tallyMemory is what the report keeps of n pairs of customer and route.
+func tallyMemory(n int) float64 {
+	return heapOf(func() any {
+		t := &tally.Tally{}
+		for i := range n {
+			t.Count(customer(i).Name, "recipe", lacewingramp.Ran, lacewingramp.CauseNone, time.Millisecond)
+		}
+		return t
+	})
+}
+
 func recordMemory(n int) float64 {
 	domains := []lacewingramp.Domain{{Name: "uy1"}}
 	return heapOf(func() any {
--- a/internal/proof/slope/page.go
+++ b/internal/proof/slope/page.go
@@ -18,6 +18,7 @@
 	customers   = 1000.0
 	targets     = 12 * sites
 	ordersASec  = 100.0
+	routes      = 4.0
 	daySeconds  = 86400.0
 )
 
@@ -37,6 +38,8 @@
 	ticksASec    = 10.0
 	callOverhead = 120.0
 	blockText    = 45.0
+	auditEntries = 200.0
+	auditBytes   = 20 * 120.0
 	nano         = 1e-9
 )
 
@@ -79,6 +82,10 @@
 	add("configuration", "bytes, over a day", fmt.Sprintf("%.0f changes × %.0f bytes / 86400 s", changesADay, table), changesADay*table/daySeconds, "bytes/s", bytesBudget, "entry/instance fetchFrom")
 	add("configuration", "processor, over a day", fmt.Sprintf("%.0f changes × %.1f ms / 86400 s", changesADay, apply/1e6), changesADay*apply*nano/daySeconds, "core", coreBudget, "config/index New")
 	add("records", "memory", fmt.Sprintf("%.0f orders/s × 600 s / %.0f × %.0f bytes", ordersASec, nodes, f.Find("record memory").PerUnit), ordersASec*600/nodes*f.Find("record memory").PerUnit, "bytes", memoryBudget, "call/record Book")
+	evidence := f.Find("evidence bytes").At(routes)
+	add("rollouts", "evidence of one rollout under way", fmt.Sprintf("%.0f/s × %.0f bytes of %.0f routes", beats, evidence, routes), beats*evidence, "bytes/s", bytesBudget, "change/rollout Manager")
+	add("reports", "memory of counts", fmt.Sprintf("%.0f customers × %.0f routes × %.0f bytes", customers, routes, f.Find("tally memory").PerUnit), customers*routes*f.Find("tally memory").PerUnit, "bytes", memoryBudget, "report/tally Tally")
+	add("reports", "memory of the audit trail", fmt.Sprintf("%.0f entries × %.0f bytes", auditEntries, auditBytes), auditEntries*auditBytes, "bytes", memoryBudget, "entry/instance Taken")
 	return append(all, storeRows()...)
 }
 
--- a/internal/report/tally/tally.go
+++ b/internal/report/tally/tally.go
@@ -1,5 +1,5 @@
 // Package tally counts the requests of an instance by customer, route and
-// cause, with a histogram of how long they took.
+// cause, with a histogram of how long they took, to one digit.
 //
 // # Usage
 //
@@ -20,7 +20,7 @@
 
 const (
 	longest     = int64(time.Hour / time.Microsecond)
-	digits      = 2
+	digits      = 1
 	microsecond = int64(time.Microsecond)
 	p50         = 50
 	p99         = 99
