Keep a slot for a while after its request was cancelled

Cause: under the race detector, and in kill tests on a crowded machine, a target counted one request beyond its slots. The slot was freed when the deadline passed here, while the target had not noticed the cancellation yet, and the next request reached it first.

Change: a slot whose request may still run after its deadline or its caller's leave stays taken for 250 ms more.

Ruled out: shards in two hands (at most 8 of 8 at a time by the instances' own count in the same run).

--- a/internal/entry/carrier/run.go
+++ b/internal/entry/carrier/run.go
@@ -199,7 +199,7 @@
 		c.State.Pool.Leave(c.Timer.Now(), g.Target.Name)
 		c.State.Unlock()
 	}
-	c.release(g, result.Outcome)
+	c.releaseAfter(ctx, g, result.Outcome, err)
 	if result.Outcome != slot.OutcomeCut {
 		failed := result.Outcome == slot.OutcomeFailed || result.Outcome == slot.OutcomeDied
 		took := c.Timer.Now().Sub(begun)
@@ -239,6 +239,20 @@
 	}
 }
 
+// cancelTime is how long a slot stays taken after its request was cancelled: the
+// target still runs it until it has noticed.
+const cancelTime = 250 * time.Millisecond
+
+// releaseAfter frees a slot, at once or, where the target may still run its
+// request, when that has been cancelled for a while.
+func (c *Carrier) releaseAfter(ctx context.Context, g slot.Grant, o slot.Outcome, err error) {
+	if err == nil || ctx.Err() == nil || notRun(err) {
+		c.release(g, o)
+		return
+	}
+	c.Timer.After(cancelTime, func(time.Time) { c.release(g, o) })
+}
+
 func (c *Carrier) release(g slot.Grant, o slot.Outcome) {
 	c.State.Lock()
 	defer c.State.Unlock()
