Remove what nothing calls

Cause: the last read found four functions without a caller (Causes, LongestDeadline and two Inflight), and a loan called none.

Change: they are gone; the loan is called loan. Behaviour is the same.

Measured: vet, lint and the tests of limits, steering, entry and config pass.

Left: a request's caps are checked twice when a slot is free at once, as the path through the queue needs the second check.

--- a/cause.go
+++ b/cause.go
@@ -42,12 +42,3 @@
 	}
 	return &NameError{Kind: "cause", Name: string(text)}
 }
-
-// Causes lists every cause in order of its number.
-func Causes() []Cause {
-	all := make([]Cause, 0, causeEnd)
-	for c := CauseNone; c < causeEnd; c++ {
-		all = append(all, c)
-	}
-	return all
-}
--- a/internal/config/index/index.go
+++ b/internal/config/index/index.go
@@ -211,12 +211,3 @@
 func LinkSubject(from, to string) lacewingramp.Subject {
 	return lacewingramp.Subject{Kind: lacewingramp.SubjectLink, Name: from + ">" + to}
 }
-
-// LongestDeadline returns the longest deadline of any route.
-func (x *Index) LongestDeadline() lacewingramp.Duration {
-	var most lacewingramp.Duration
-	for _, r := range x.Table.Routes {
-		most = max(most, r.Deadline)
-	}
-	return most
-}
--- a/internal/entry/carrier/run.go
+++ b/internal/entry/carrier/run.go
@@ -259,8 +259,3 @@
 	delete(c.running, g.Ticket)
 	c.wake(c.State.Pool.Release(c.Timer.Now(), g, o))
 }
-
-// Inflight returns how many requests run on targets. It needs the lock.
-func (c *Carrier) Inflight() int {
-	return len(c.running)
-}
--- a/internal/limit/quota/quota_lend.go
+++ b/internal/limit/quota/quota_lend.go
@@ -78,10 +78,10 @@
 }
 
 func (b *Book) lend(now time.Time, ask lacewingramp.Ask) lacewingramp.Loan {
-	none := lacewingramp.Loan{ID: ask.ID, Subject: ask.Subject, Term: Term}
+	loan := lacewingramp.Loan{ID: ask.ID, Subject: ask.Subject, Term: Term}
 	k, ok := b.buckets[ask.Subject]
 	if !ok || b.Suspended(now) || k.lends(ask.ID) {
-		return none
+		return loan
 	}
 	k.expire(now)
 	if b.gathersFor(ask, k) {
@@ -92,14 +92,14 @@
 		return b.sublend(now, k, ask)
 	}
 	if burst == 0 || (rate == 0 && tokens < 1) {
-		return none
+		return loan
 	}
-	none.Parcel = k.split(rate, burst, tokens)
-	none.All = b.yields(ask, k)
+	loan.Parcel = k.split(rate, burst, tokens)
+	loan.All = b.yields(ask, k)
 	k.lent = append(k.lent, lent{
 		id: ask.ID, parcel: lacewingramp.Parcel{Rate: rate, Burst: burst}, until: now.Add(Term + Margin),
 	})
-	return none
+	return loan
 }
 
 // gathersFor reports whether the instance may have to gather a small limit
--- a/internal/steer/slot/slot.go
+++ b/internal/steer/slot/slot.go
@@ -301,15 +301,6 @@
 	return r
 }
 
-// Inflight returns how many requests run on the pool's targets.
-func (p *Pool) Inflight() int {
-	n := 0
-	for _, k := range p.targets {
-		n += k.inflight
-	}
-	return n
-}
-
 // shardOf returns the shard that one slot of a target belongs to.
 func shardOf(target string, index int) int {
 	return int((xxhash.Sum64String(target) + uint64(index)) % quota.Shards)
