--- a/digest.go
+++ b/digest.go
@@ -4,12 +4,16 @@
 
 // Endpoint says how an instance is reached. Name is unique to one life of
 // the instance.
+//
+// Born is the moment of its start in milliseconds since 1970, where two lives
+// share an address.
 type Endpoint struct {
 	Name    string `json:"name"`
 	Domain  string `json:"domain"`
 	Peer    string `json:"peer"`
 	Caller  string `json:"caller"`
 	Leaving bool   `json:"leaving,omitempty"`
+	Born    int64  `json:"born,omitempty"`
 }
 
 // Check reports an endpoint that can not be reached.
--- /dev/null
+++ b/heartbeat.go
@@ -0,0 +1,31 @@
+package lacewingramp
+
+// Heartbeat is what an instance tells all others several times a second. It
+// fits into a datagram: a lost one is made good by the next, as everything in
+// it is a state and not a change.
+//
+// Revision is up to where the instance knows the store. Demand is what its
+// callers ask of customers' limits, in requests a second. Marks, Evidence and
+// Outcomes are those of the request prints and rollouts at hand.
+type Heartbeat struct {
+	Endpoint Endpoint           `cbor:"1,keyasint"`
+	Ready    bool               `cbor:"2,keyasint,omitempty"`
+	Revision int64              `cbor:"3,keyasint"`
+	Demand   map[string]float32 `cbor:"4,keyasint,omitempty"`
+	Marks    []Mark             `cbor:"5,keyasint,omitempty"`
+	Evidence []Evidence         `cbor:"6,keyasint,omitempty"`
+	Outcomes []Outcome          `cbor:"7,keyasint,omitempty"`
+}
+
+// Check reports a heartbeat that no instance sends.
+func (h *Heartbeat) Check() error {
+	if h.Revision < 0 {
+		return &NameError{Kind: "revision", Name: h.Endpoint.Name}
+	}
+	for name, d := range h.Demand {
+		if !(d >= 0) {
+			return &NameError{Kind: "demand", Name: name}
+		}
+	}
+	return h.Endpoint.Check()
+}
--- /dev/null
+++ b/internal/config/mirror/mirror.go
@@ -0,0 +1,127 @@
+// Package mirror keeps a copy of the store's keys, which other instances can
+// follow like the store itself.
+//
+// Revisions only rise: a change that is older than what is known of its key is
+// left out, from wherever it comes. A snapshot that is older than the mirror
+// changes nothing.
+//
+// # Usage
+//
+//	var m mirror.Mirror
+//	fresh := m.Reset(items, revision)
+//	fresh = m.Apply(changes, revision)
+//	changes, revision, ok := m.Since(after)
+package mirror
+
+import (
+	"sort"
+
+	"lacewingramp.example/lacewingramp"
+)
+
+// logMost is how many changes are kept for followers.
+const logMost = 4096
+
+// Mirror is a copy of the store's keys. Its zero value is empty. It is not
+// safe for use by more than one goroutine.
+type Mirror struct {
+	items    map[string]lacewingramp.Item
+	log      []lacewingramp.Change
+	revision int64
+	// floor is the revision after which the log has every change.
+	floor int64
+}
+
+// Revision is up to where the store is known.
+func (m *Mirror) Revision() int64 {
+	return m.revision
+}
+
+// Item returns what is known of a key.
+func (m *Mirror) Item(key string) (lacewingramp.Item, bool) {
+	i, ok := m.items[key]
+	return i, ok
+}
+
+// Snapshot returns all items in order of key.
+func (m *Mirror) Snapshot() ([]lacewingramp.Item, int64) {
+	all := make([]lacewingramp.Item, 0, len(m.items))
+	for _, i := range m.items {
+		all = append(all, i)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Key < all[j].Key })
+	return all, m.revision
+}
+
+// Reset takes in a snapshot of all keys and returns what it changes.
+func (m *Mirror) Reset(items []lacewingramp.Item, revision int64) []lacewingramp.Change {
+	if revision < m.revision {
+		return nil
+	}
+	present := make(map[string]bool, len(items))
+	var changes []lacewingramp.Change
+	for _, i := range items {
+		present[i.Key] = true
+		changes = append(changes, lacewingramp.Change{Item: i})
+	}
+	for key, i := range m.items {
+		if !present[key] && i.Revision <= revision {
+			gone := lacewingramp.Item{Key: key, Revision: revision}
+			changes = append(changes, lacewingramp.Change{Item: gone, Deleted: true})
+		}
+	}
+	sort.SliceStable(changes, func(i, j int) bool { return changes[i].Revision < changes[j].Revision })
+	fresh := m.apply(changes)
+	m.revision = max(m.revision, revision)
+	// What was written and deleted between is not known.
+	m.log, m.floor = nil, m.revision
+	return fresh
+}
+
+// Apply takes in changes up to a revision and returns those that are new.
+func (m *Mirror) Apply(changes []lacewingramp.Change, revision int64) []lacewingramp.Change {
+	fresh := m.apply(changes)
+	m.log = append(m.log, fresh...)
+	m.revision = max(m.revision, revision)
+	if over := len(m.log) - logMost; over > 0 {
+		m.floor = m.log[over-1].Revision
+		m.log = append([]lacewingramp.Change(nil), m.log[over:]...)
+	}
+	return fresh
+}
+
+func (m *Mirror) apply(changes []lacewingramp.Change) []lacewingramp.Change {
+	if m.items == nil {
+		m.items = make(map[string]lacewingramp.Item)
+	}
+	var fresh []lacewingramp.Change
+	for _, c := range changes {
+		known, ok := m.items[c.Key]
+		if ok && known.Revision >= c.Revision && !(c.Deleted && known.Revision == c.Revision) {
+			continue
+		}
+		if !ok && c.Revision <= m.revision {
+			continue
+		}
+		if c.Deleted {
+			if !ok {
+				continue
+			}
+			delete(m.items, c.Key)
+		} else {
+			m.items[c.Key] = c.Item
+		}
+		fresh = append(fresh, c)
+	}
+	return fresh
+}
+
+// Since returns the changes after a revision. It reports false where the log
+// does not reach back that far.
+func (m *Mirror) Since(after int64) ([]lacewingramp.Change, int64, bool) {
+	if after < m.floor || m.items == nil {
+		return nil, m.revision, false
+	}
+	first := sort.Search(len(m.log), func(i int) bool { return m.log[i].Revision > after })
+	return append([]lacewingramp.Change(nil), m.log[first:]...), m.revision, true
+}
--- /dev/null
+++ b/internal/entry/edge/edge_beat.go
@@ -0,0 +1,145 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/limit/share"
+	"lacewingramp.example/lacewingramp/internal/peer/heartbeat"
+)
+
+const (
+	// listingTTL is how long the store lists an instance that does not renew,
+	// in seconds.
+	listingTTL = 10
+	// renewPeriod leaves room for two failures in listingTTL.
+	renewPeriod     = 3 * time.Second
+	registerTimeout = 2 * time.Second
+)
+
+// beat sends a heartbeat and does what is due with it.
+func (e *Edge) beat(ctx context.Context, now time.Time, s *heartbeat.Socket) {
+	e.mu.Lock()
+	for _, name := range e.roll.Sweep(now) {
+		e.quota.Forget(name)
+	}
+	e.quota.Tick(now)
+	e.place.Members(e.members(now))
+	e.sweepLapsed(now)
+	e.tickRollouts(ctx, now)
+	h := e.heartbeat(now)
+	addresses := e.roll.Addresses()
+	e.mu.Unlock()
+	e.client.Sweep(now)
+	if err := s.Send(h, addresses); err != nil {
+		e.Log.Error().Err(err).Msg("could not send a heartbeat")
+	}
+	e.catchUp(ctx, now)
+}
+
+// members lists the instances that are alive, this one among them.
+func (e *Edge) members(now time.Time) []string {
+	names := []string{e.Name}
+	for _, m := range e.roll.Alive(now) {
+		if !m.Leaving {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+func (e *Edge) heartbeat(now time.Time) *lacewingramp.Heartbeat {
+	e.self.Leaving = e.ending.Load()
+	h := &lacewingramp.Heartbeat{
+		Endpoint: e.self, Ready: e.Ready(), Revision: e.mirror.Revision(),
+		Marks: e.ward.Marks(now), Evidence: e.rollouts.Evidence(), Outcomes: e.rollouts.Outcomes(),
+	}
+	for name, d := range e.quota.Demand(now) {
+		if h.Demand == nil {
+			h.Demand = make(map[string]float32)
+		}
+		h.Demand[name] = float32(d)
+	}
+	return h
+}
+
+// hear takes in another instance's heartbeat.
+func (e *Edge) hear(h *lacewingramp.Heartbeat) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.Timer.Now()
+	if e.roll.Hear(now, h) {
+		e.Log.Info().Str("peer", h.Endpoint.Name).Int64("revision", h.Revision).Msg("heard an instance that was silent")
+	}
+	if h.Endpoint.Name == e.Name {
+		return
+	}
+	d := make(share.Demand, len(h.Demand))
+	for name, v := range h.Demand {
+		d[name] = float64(v)
+	}
+	e.quota.Hear(h.Endpoint.Name, d)
+	e.ward.Merge(now, h.Marks)
+	e.rollouts.Hear(h.Evidence, h.Outcomes)
+}
+
+// register keeps this instance listed in the store until ctx ends.
+func (e *Edge) register(ctx context.Context) {
+	var lease lacewingramp.LeaseID
+	pause := retryFirst
+	for ctx.Err() == nil {
+		var err error
+		lease, err = e.keepListed(ctx, lease)
+		if err != nil {
+			sleep(ctx, pause)
+			pause = min(renewPeriod, 2*pause)
+			continue
+		}
+		pause = retryFirst
+		sleep(ctx, renewPeriod)
+	}
+	if lease != 0 {
+		e.unlist(lease)
+	}
+}
+
+// keepListed renews the lease of the listing, or lists the instance anew.
+func (e *Edge) keepListed(ctx context.Context, lease lacewingramp.LeaseID) (lacewingramp.LeaseID, error) {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	if lease != 0 {
+		err := e.Store.Renew(ctx, lease)
+		if !errors.Is(err, lacewingramp.ErrNoLease) {
+			return lease, err
+		}
+		e.Log.Warn().Msg("the lease of this instance's listing has ended")
+	}
+	lease, err := e.Store.Grant(ctx, listingTTL)
+	if err != nil {
+		return 0, err
+	}
+	key, value, err := e.Writer.Instance(e.self)
+	if err != nil {
+		return 0, err
+	}
+	if _, err := e.Store.Put(ctx, key, value, lease); err != nil {
+		return 0, err
+	}
+	e.Log.Info().Int64("lease", int64(lease)).Msg("listed this instance")
+	return lease, nil
+}
+
+// unlist ends the listing of an instance that stops.
+func (e *Edge) unlist(lease lacewingramp.LeaseID) {
+	ctx, cancel := context.WithTimeout(context.Background(), unlistTimeout)
+	defer cancel()
+	if err := e.Store.End(ctx, lease); err != nil {
+		e.Log.Warn().Err(err).Msg("could not end this instance's listing, it ends by itself")
+	}
+}
+
+// unlistTimeout is short, as the process is about to end.
+const unlistTimeout = 200 * time.Millisecond
--- /dev/null
+++ b/internal/entry/edge/edge_notice.go
@@ -0,0 +1,132 @@
+package edge
+
+import (
+	"time"
+
+	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/config/routing"
+)
+
+// apply acts on changes of the store, in order. The caller holds the lock.
+func (e *Edge) apply(changes []lacewingramp.Change) {
+	now := e.Timer.Now()
+	for _, c := range changes {
+		n, err := e.Reader.Read(c)
+		if err != nil {
+			e.Log.Warn().Err(err).Str("key", c.Key).Int64("revision", c.Revision).Msg("passed over a key that can not be read")
+			e.unreadable(now, c)
+			continue
+		}
+		e.notice(now, &n)
+	}
+}
+
+// unreadable drops the target of a listing that can not be read.
+func (e *Edge) unreadable(now time.Time, c lacewingramp.Change) {
+	c.Deleted = true
+	n, err := e.Reader.Read(c)
+	if err == nil && n.Listing != nil {
+		e.removeTarget(now, n.Listing.Name, n.Revision)
+	}
+}
+
+func (e *Edge) notice(now time.Time, n *lacewingramp.Notice) {
+	switch {
+	case n.Table != nil:
+		e.takeTable(now, n)
+	case n.Listing != nil:
+		e.takeListing(now, n)
+	case n.Evacuation != nil:
+		e.place.Evacuate(now, n.Evacuation.Domain, !n.Removed)
+		e.Log.Info().Str("domain", n.Evacuation.Domain).Bool("over", n.Removed).Int64("revision", n.Revision).Msg("evacuation")
+	case n.Instance != nil:
+		e.takeInstance(now, n)
+	case n.Order != nil, n.Start != nil, n.Result != nil:
+		e.takeRollout(now, n)
+	}
+}
+
+func (e *Edge) takeTable(now time.Time, n *lacewingramp.Notice) {
+	if n.Removed {
+		e.Log.Error().Int64("revision", n.Revision).Msg("the table has been removed, the last one stays in force")
+		return
+	}
+	old := e.routes.Load()
+	if old != nil && old.Table.Revision >= n.Table.Revision {
+		return
+	}
+	m := routing.New(n.Table)
+	e.place.Configure(n.Table.Services)
+	e.quota.Configure(now, m.Limits())
+	e.routes.Store(m)
+	e.ready.Store(true)
+	e.Log.Info().Int64("table", n.Table.Revision).Int64("revision", n.Revision).Int("routes", len(n.Table.Routes)).
+		Int("customers", len(n.Table.Customers)).Msg("table in force")
+}
+
+func (e *Edge) takeListing(now time.Time, n *lacewingramp.Notice) {
+	name := n.Listing.Name
+	if n.Removed {
+		if e.storeAway(now) {
+			e.lapsed[name] = now.Add(lapseTime)
+			e.Log.Info().Str("target", name).Int64("revision", n.Revision).Msg("a listing ended while the store was away")
+			return
+		}
+		e.removeTarget(now, name, n.Revision)
+		return
+	}
+	delete(e.lapsed, name)
+	known, ok := e.place.Target(name)
+	if left := e.place.Update(now, *n.Listing); left != "" {
+		e.client.Drop(left)
+	}
+	if !ok || known.Leaving != n.Listing.Leaving || known.Born != n.Listing.Born {
+		e.Log.Info().Str("target", name).Str("service", n.Listing.Service).Str("version", n.Listing.Version).
+			Str("domain", n.Listing.Domain).Bool("leaving", n.Listing.Leaving).Dur("cold", n.Listing.Cold).
+			Int64("revision", n.Revision).Msg("target listed")
+		e.setRollouts(now)
+	}
+}
+
+// storeAway reports whether listings may have ended because the store was
+// away, and not because their targets have left.
+func (e *Edge) storeAway(now time.Time) bool {
+	return e.store.lost || now.Sub(e.store.regained) < lapseWatch
+}
+
+func (e *Edge) removeTarget(now time.Time, name string, revision int64) {
+	if _, ok := e.place.Target(name); !ok {
+		return
+	}
+	e.client.Drop(e.place.Remove(name))
+	e.Log.Info().Str("target", name).Int64("revision", revision).Msg("target gone")
+	e.setRollouts(now)
+}
+
+// sweepLapsed drops the targets whose listings have not come back in time
+// after the store has.
+func (e *Edge) sweepLapsed(now time.Time) {
+	for name, until := range e.lapsed {
+		if e.store.lost {
+			e.lapsed[name] = now.Add(lapseTime)
+			continue
+		}
+		if now.After(until) {
+			delete(e.lapsed, name)
+			e.removeTarget(now, name, e.mirror.Revision())
+		}
+	}
+}
+
+func (e *Edge) takeInstance(now time.Time, n *lacewingramp.Notice) {
+	if n.Removed {
+		name := n.Key[len(lacewingramp.KeyInstances):]
+		e.roll.Unlist(name)
+		return
+	}
+	if err := n.Instance.Check(); err != nil {
+		e.Log.Warn().Err(err).Str("key", n.Key).Msg("passed over an instance that can not be reached")
+		return
+	}
+	e.roll.List(now, *n.Instance)
+}
--- /dev/null
+++ b/internal/entry/edge/edge_request.go
@@ -0,0 +1,301 @@
+package edge
+
+import (
+	"context"
+	"maps"
+	"net"
+	"net/http"
+	"time"
+
+	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/call/exchange"
+	"lacewingramp.example/lacewingramp/internal/call/message"
+	"lacewingramp.example/lacewingramp/internal/call/poison"
+	"lacewingramp.example/lacewingramp/internal/steer/placement"
+)
+
+const (
+	// unreachableMost is how many targets may turn out to be unreachable
+	// before a request is given up: none of them has got it.
+	unreachableMost = 3
+	// crashTimeout is how long a target whose connection broke has to take
+	// another, before it counts as crashed.
+	crashTimeout = 200 * time.Millisecond
+	// leftLeast is the least time for which a request is worth sending.
+	leftLeast = 5 * time.Millisecond
+)
+
+// job is one request on its way.
+type job struct {
+	request  *message.Request
+	call     lacewingramp.Call
+	table    int64
+	route    *lacewingramp.Route
+	customer *lacewingramp.Customer
+	service  string
+	print    uint64
+	begun    time.Time
+	deadline time.Time
+
+	tried       []string
+	sent        int
+	unreachable int
+	// mayHaveRun is set once a target may have started the request.
+	mayHaveRun bool
+	// fallback is a target's answer that another target could better.
+	fallback *message.Answer
+	full     bool
+}
+
+func (j *job) customerName() string {
+	if j.customer == nil {
+		return ""
+	}
+	return j.customer.Name
+}
+
+func (j *job) homes() lacewingramp.Names {
+	if j.customer == nil {
+		return nil
+	}
+	return j.customer.Regions
+}
+
+// handle answers one request of a caller.
+func (e *Edge) handle(ctx context.Context, r *message.Request, begun time.Time) *message.Answer {
+	j := &job{request: r, begun: begun}
+	if a := e.admit(j); a != nil {
+		return a
+	}
+	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	defer cancel()
+	a := e.run(ctx, j)
+	e.Meter.Request(a.Status, lacewingramp.CauseNone, e.Timer.Now().Sub(begun))
+	return a
+}
+
+// admit finds out whether a request may run, and returns the answer if not.
+func (e *Edge) admit(j *job) *message.Answer {
+	call, err := e.Wire.Call(j.request.Header)
+	j.call = call
+	if err != nil {
+		return e.reject(j, http.StatusBadRequest, lacewingramp.CauseNone, err.Error())
+	}
+	m := e.routes.Load()
+	if m == nil {
+		return e.refuse(j, http.StatusServiceUnavailable, lacewingramp.CauseTable, tableRetry, "no table is in force yet")
+	}
+	j.table = m.Table.Revision
+	route, ok := m.Route(j.request.Host, j.request.Path)
+	if !ok {
+		return e.reject(j, http.StatusNotFound, lacewingramp.CauseRoute, "no route")
+	}
+	j.route = route
+	if customer, ok := m.Customer(call.Key); ok {
+		j.customer = customer
+	} else if !route.Open {
+		return e.reject(j, http.StatusUnauthorized, lacewingramp.CauseKey, "unknown key")
+	}
+	patience := time.Duration(route.Deadline)
+	if call.Patience > 0 {
+		patience = min(patience, call.Patience)
+	}
+	j.deadline = j.begun.Add(patience)
+	return e.take(j)
+}
+
+// tableRetry is when a caller may come back to an instance without a table.
+const tableRetry = 300 * time.Millisecond
+
+// take takes the request's quota and checks it against those that crash their
+// targets.
+func (e *Edge) take(j *job) *message.Answer {
+	now := e.Timer.Now()
+	j.print = poison.Print(&lacewingramp.Carry{
+		Customer: j.customerName(), Route: j.route.Name, Method: j.request.Method, URI: j.request.URI, Body: j.request.Body,
+	})
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.quota.Take(now, j.customerName()) {
+		wait := max(quotaRetry, e.quota.Wait(j.customerName()))
+		return e.refuse(j, http.StatusTooManyRequests, lacewingramp.CauseRate, wait, "over the customer's rate")
+	}
+	if !e.ward.Enter(now, j.print) {
+		e.quota.Refund(j.customerName())
+		return e.refuse(j, http.StatusServiceUnavailable, lacewingramp.CausePoison, poisonRetry, "such requests have crashed their targets")
+	}
+	j.service = e.service(j.route)
+	e.budget.Count(now, j.service)
+	return nil
+}
+
+const (
+	// quotaRetry is the shortest time after which a customer over its rate is
+	// asked to come back.
+	quotaRetry  = 500 * time.Millisecond
+	poisonRetry = time.Second
+)
+
+// run sends an admitted request to targets until one has answered.
+func (e *Edge) run(ctx context.Context, j *job) *message.Answer {
+	died := false
+	defer func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.ward.Leave(e.Timer.Now(), j.print, died)
+	}()
+	for ctx.Err() == nil {
+		choice, version, ok := e.choose(j)
+		if !ok {
+			break
+		}
+		r, took := e.send(ctx, j, choice)
+		crashed := r.Died && e.crashed(choice.Target.Address)
+		died = died || crashed
+		e.report(ctx, j, choice, r, took, crashed, version)
+		if a := e.settle(j, r); a != nil {
+			return a
+		}
+	}
+	return e.finish(j)
+}
+
+// choose finds the next target of a request, if it may have one.
+func (e *Edge) choose(j *job) (placement.Choice, string, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.Timer.Now()
+	if j.deadline.Sub(now) < leftLeast || j.sent >= j.route.Attempts || j.unreachable >= unreachableMost {
+		return placement.Choice{}, "", false
+	}
+	q := placement.Query{Service: j.service, Routes: j.route.Regions, Homes: j.homes(), Tried: j.tried}
+	if j.route.Affinity {
+		q.Object = j.call.Object
+	}
+	prefer, fallback := e.version(now, j.service)
+	q.Version = prefer
+	choice := e.place.Choose(now, q)
+	if choice.Target == nil && fallback != prefer {
+		q.Version = fallback
+		choice = e.place.Choose(now, q)
+	}
+	if choice.Target == nil {
+		j.full = choice.Full
+		return choice, "", false
+	}
+	if j.sent > 0 && !e.budget.Take(now, j.service, e.roll.Count(now)) {
+		e.place.Cancel(choice.Target.Name)
+		e.Log.Info().Str("id", j.call.ID).Str("service", j.service).Int("sent", j.sent).Msg("not repeated: the retry budget is used up")
+		return placement.Choice{}, "", false
+	}
+	j.tried = append(j.tried, choice.Target.Name)
+	return choice, choice.Target.Version, true
+}
+
+// send sends a request to the chosen target.
+func (e *Edge) send(ctx context.Context, j *job, c placement.Choice) (exchange.Result, time.Duration) {
+	begun := e.Timer.Now()
+	h := maps.Clone(j.request.Header)
+	message.Strip(h)
+	e.Wire.Forward(h, lacewingramp.Sending{
+		Left: j.deadline.Sub(begun), Target: c.Target.Name, Customer: j.customerName(),
+	})
+	r := e.client.Do(ctx, exchange.Order{
+		Address: c.Target.Address, Request: j.request, Header: h, ID: j.call.ID, Once: !j.route.Idempotent,
+	})
+	took := e.Timer.Now().Sub(begun)
+	e.Meter.Attempt(r.Verdict, took)
+	if r.Dialled {
+		e.Meter.Dialled()
+	}
+	return r, took
+}
+
+// crashed reports whether a target whose connection broke refuses another.
+func (e *Edge) crashed(address string) bool {
+	c, err := net.DialTimeout("tcp4", address, crashTimeout)
+	if err != nil {
+		return true
+	}
+	_ = c.Close()
+	return false
+}
+
+// report takes in what became of a request on a target.
+func (e *Edge) report(ctx context.Context, j *job, c placement.Choice, r exchange.Result, took time.Duration, crashed bool, version string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.Timer.Now()
+	left := r.Answer == nil && ctx.Err() != nil
+	failed := r.Verdict != lacewingramp.NotRun && !left && (r.Answer == nil || r.Answer.Status >= http.StatusInternalServerError)
+	e.place.Done(now, placement.Report{
+		Target: c.Target.Name, Unreachable: r.Unreachable || crashed, Failed: failed,
+		Shed: r.Sign.NotRun, Gone: r.Sign.Elsewhere, Load: r.Sign.Load, Cold: r.Sign.Cold,
+	})
+	if r.Verdict != lacewingramp.NotRun && !left {
+		if c.Cold {
+			took = 0
+		}
+		e.rollouts.Observe(j.route.Name, j.service, version, failed, took)
+	}
+	if failed || r.Unreachable || r.Sign.Elsewhere || left {
+		e.Log.Info().Str("id", j.call.ID).Str("target", c.Target.Name).Str("verdict", r.Verdict.String()).
+			AnErr("error", r.Err).Int("status", status(r.Answer)).Dur("took", took).Bool("crashed", crashed).
+			Bool("cancelled", left).Msg("a target did not answer well")
+	}
+}
+
+func status(a *message.Answer) int {
+	if a == nil {
+		return 0
+	}
+	return a.Status
+}
+
+// settle returns the caller's answer if there is one after an attempt.
+func (e *Edge) settle(j *job, r exchange.Result) *message.Answer {
+	if r.Unreachable {
+		j.unreachable++
+		return nil
+	}
+	j.sent++
+	switch {
+	case r.Verdict == lacewingramp.NotRun:
+		return nil
+	case r.Answer == nil:
+		j.mayHaveRun = true
+		if j.route.Idempotent {
+			return nil
+		}
+		return e.finish(j)
+	}
+	message.Strip(r.Answer.Header)
+	r.Answer.Close = false
+	if r.Answer.Status >= http.StatusInternalServerError && j.route.Idempotent {
+		j.mayHaveRun = true
+		j.fallback = r.Answer
+		return nil
+	}
+	return r.Answer
+}
+
+// finish answers a request that no target has answered well.
+func (e *Edge) finish(j *job) *message.Answer {
+	if j.fallback != nil {
+		return j.fallback
+	}
+	if j.mayHaveRun {
+		if !e.Timer.Now().Before(j.deadline) {
+			return e.fail(j, http.StatusGatewayTimeout, lacewingramp.CauseDeadline, "no answer in time")
+		}
+		return e.fail(j, http.StatusBadGateway, lacewingramp.CauseTarget, "no whole answer")
+	}
+	e.mu.Lock()
+	e.quota.Refund(j.customerName())
+	e.mu.Unlock()
+	cause, detail := lacewingramp.CauseTarget, "no target could be reached"
+	if j.full || j.sent > 0 {
+		cause, detail = lacewingramp.CauseSlots, "all targets are full"
+	}
+	return e.refuse(j, http.StatusServiceUnavailable, cause, fullRetry(j), detail)
+}
--- /dev/null
+++ b/internal/limit/share/share.go
@@ -0,0 +1,179 @@
+// Package share holds customers' rates over all instances together: each
+// instance uses the part of a limit that its part of the demand is worth.
+//
+// Instances tell each other their demand with every heartbeat. An instance
+// that is not heard any more keeps the part that it had when it was last heard
+// until it is known to be gone, so that two sides of a partition stay within
+// the limit together. Tokens grow with the part, they are never made by
+// joining: a new instance starts with a small fraction of its part.
+//
+// # Usage
+//
+//	var b share.Book
+//	b.Configure(now, limits)
+//	b.Hear(peer, demand)
+//	if !b.Take(now, customer) {
+//		wait := b.Wait(customer)
+//	}
+//
+// A Book is not safe for use by more than one goroutine.
+package share
+
+import (
+	"math"
+	"time"
+
+	"lacewingramp.example/lacewingramp"
+)
+
+const (
+	// demandTime is over how long demand is averaged.
+	demandTime = 1500 * time.Millisecond
+	// demandLeast is counted for every instance, in requests a second, so that
+	// one without demand can serve the first request.
+	demandLeast = 0.3
+	// startTime is how much of its rate a new bucket holds.
+	startTime = 200 * time.Millisecond
+	// burstLeast lets one request pass wherever there is a limit at all.
+	burstLeast = 1.0
+)
+
+// Demand is what an instance's callers ask of a customer's limit, in requests
+// a second, whether they get it or not.
+type Demand map[string]float64
+
+// Book holds one instance's parts of all limits. Its zero value is ready.
+type Book struct {
+	accounts map[string]*account
+	peers    map[string]Demand
+}
+
+// account is one customer's limit at this instance.
+type account struct {
+	limit  lacewingramp.Limit
+	part   float64
+	level  float64
+	moment time.Time
+	demand float64
+	seen   time.Time
+}
+
+// Configure takes limits into force. A limit that stays keeps its tokens, as
+// far as they fit.
+func (b *Book) Configure(now time.Time, limits map[string]lacewingramp.Limit) {
+	known := b.accounts
+	b.accounts = make(map[string]*account, len(limits))
+	for name, l := range limits {
+		a, ok := known[name]
+		if !ok {
+			a = &account{limit: l, moment: now, seen: now}
+			a.part = b.part(name, a)
+			a.level = math.Min(l.Burst, l.Rate*startTime.Seconds()) * a.part
+		}
+		a.fill(now)
+		a.limit = l
+		a.level = math.Min(a.level, a.most())
+		b.accounts[name] = a
+	}
+}
+
+func (a *account) most() float64 {
+	return math.Max(burstLeast, a.limit.Burst*a.part)
+}
+
+func (a *account) fill(now time.Time) {
+	passed := now.Sub(a.moment).Seconds()
+	if passed <= 0 {
+		return
+	}
+	a.moment = now
+	a.level = math.Min(a.most(), a.level+a.limit.Rate*a.part*passed)
+}
+
+// wanted returns the account's demand as it has faded by now.
+func (a *account) wanted(now time.Time) float64 {
+	return a.demand * math.Exp(-now.Sub(a.seen).Seconds()/demandTime.Seconds())
+}
+
+// Take asks for one request of a customer. A customer without a limit always
+// gets it.
+func (b *Book) Take(now time.Time, customer string) bool {
+	a, ok := b.accounts[customer]
+	if !ok {
+		return true
+	}
+	a.demand = a.wanted(now) + 1/demandTime.Seconds()
+	a.seen = now
+	a.fill(now)
+	if a.level < 1 {
+		return false
+	}
+	a.level--
+	return true
+}
+
+// Refund gives back what was taken for a request that has not run.
+func (b *Book) Refund(customer string) {
+	if a, ok := b.accounts[customer]; ok {
+		a.level = math.Min(a.most(), a.level+1)
+	}
+}
+
+// Wait returns how long it takes until there is a token for the customer.
+func (b *Book) Wait(customer string) time.Duration {
+	a, ok := b.accounts[customer]
+	if !ok || a.limit.Rate*a.part <= 0 {
+		return 0
+	}
+	lack := math.Max(0, 1-a.level)
+	return time.Duration(lack / (a.limit.Rate * a.part) * float64(time.Second))
+}
+
+// Demand returns what this instance's callers ask, for the next heartbeat.
+func (b *Book) Demand(now time.Time) Demand {
+	all := make(Demand)
+	for name, a := range b.accounts {
+		if d := a.wanted(now); d >= demandLeast {
+			all[name] = d
+		}
+	}
+	return all
+}
+
+// Hear takes in another instance's demand.
+func (b *Book) Hear(peer string, d Demand) {
+	if b.peers == nil {
+		b.peers = make(map[string]Demand)
+	}
+	b.peers[peer] = d
+}
+
+// Forget drops an instance that is known to be gone.
+func (b *Book) Forget(peer string) {
+	delete(b.peers, peer)
+}
+
+// Tick works out the parts anew. Tokens change hands with them.
+func (b *Book) Tick(now time.Time) {
+	for name, a := range b.accounts {
+		a.fill(now)
+		old := a.part
+		a.part = b.partAt(now, name, a)
+		if a.part < old {
+			a.level *= a.part / old
+		}
+	}
+}
+
+func (b *Book) part(name string, a *account) float64 {
+	return b.partAt(a.moment, name, a)
+}
+
+func (b *Book) partAt(now time.Time, name string, a *account) float64 {
+	own := a.wanted(now) + demandLeast
+	sum := own
+	for _, d := range b.peers {
+		sum += d[name] + demandLeast
+	}
+	return own / sum
+}
--- /dev/null
+++ b/internal/steer/placement/placement.go
@@ -0,0 +1,441 @@
+// Package placement chooses the target that a request runs on.
+//
+// Every instance orders the targets of a service alike for an object, by
+// weighted rendezvous hashing, without a message. So an object meets the
+// target that has handled it lately, and a target that joins or leaves moves
+// few objects. A request goes to the first target in that order that has room,
+// by what this instance has in flight there and what the target last said of
+// its load.
+//
+// A target that has just started takes few requests a second. It belongs to
+// one instance, which keeps its rate, until it is warm. A target that could not
+// be reached is left alone for a while and counts as just started after that.
+//
+// # Usage
+//
+//	var p placement.Placer
+//	p.Configure(self, services)
+//	p.Update(now, listing)
+//	choice := p.Choose(now, placement.Query{Service: "recipes", Object: "17"})
+//	if choice.Target == nil {
+//		// Refuse: choice.Full tells whether there are targets at all.
+//	}
+//	...
+//	p.Done(now, placement.Report{Target: choice.Target.Name, Took: took})
+//
+// A Placer is not safe for use by more than one goroutine.
+package placement
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lacewingramp.example/lacewingramp"
+)
+
+const (
+	// ownMost is how many requests this instance has at one target at a time,
+	// as it does not know what the others send there.
+	ownMost = 2
+	// loadFresh is how long a target's word on its load counts.
+	loadFresh = 1500 * time.Millisecond
+	// loadFade is how fast the load of other instances is taken to pass.
+	loadFade = 400 * time.Millisecond
+	// queueShare is how many requests may wait at a target for each slot when
+	// every target is full.
+	queueShare = 0.7
+	// failureFade is how fast failures of a target are forgotten.
+	failureFade = 2 * time.Second
+	// failureMost is the part of failures above which a target is avoided.
+	failureMost = 0.25
+	// failureWeight is the part of the last outcome in a target's failures.
+	failureWeight = 0.2
+	// suspendFirst and suspendMost bound how long a target that could not be
+	// reached is left alone.
+	suspendFirst = 500 * time.Millisecond
+	suspendMost  = 4 * time.Second
+	// coldMargin covers the time that a listing takes to get here.
+	coldMargin = 300 * time.Millisecond
+	// coldBurst is how many requests a cold target may get at once.
+	coldBurst = 2.0
+)
+
+// Query asks for a target. Version is empty for any. Object is empty where no
+// target is better than another. Tried are targets that were asked before.
+type Query struct {
+	Service string
+	Version string
+	Object  string
+	Routes  lacewingramp.Names
+	Homes   lacewingramp.Names
+	Tried   []string
+}
+
+// Choice is a target, or the reason why there is none: all are Full, or there
+// are none at all. Rank is its place in the object's order of targets.
+type Choice struct {
+	Target *lacewingramp.Target
+	Full   bool
+	Rank   int
+	Cold   bool
+}
+
+// Report tells what became of a request on a target.
+type Report struct {
+	Target string
+	// Unreachable says that there was no connection, Failed that the target
+	// did not answer well.
+	Unreachable bool
+	Failed      bool
+	// Shed says that the target refused the request for want of room.
+	Shed bool
+	// Gone says that another target has the address.
+	Gone bool
+	Load *lacewingramp.Load
+	Cold time.Duration
+}
+
+// target is what this instance knows of one target.
+type target struct {
+	lacewingramp.Listing
+	region   string
+	hash     uint64
+	inflight int
+
+	load    lacewingramp.Load
+	loadAt  time.Time
+	loadOwn int
+
+	failures  float64
+	failureAt time.Time
+	suspended time.Time
+	suspend   time.Duration
+	coldUntil time.Time
+	tokens    float64
+	tokensAt  time.Time
+	gone      bool
+}
+
+// Placer knows the targets of all services. Its zero value knows none.
+type Placer struct {
+	// Self is the name of this instance.
+	Self string
+	// Regions maps failure domains to regions.
+	Regions map[string]string
+
+	targets   map[string]*target
+	services  map[string][]*target
+	settings  map[string]lacewingramp.Service
+	evacuated map[string]bool
+	members   []string
+}
+
+// Configure takes in the services' settings.
+func (p *Placer) Configure(services []lacewingramp.Service) {
+	p.settings = make(map[string]lacewingramp.Service, len(services))
+	for _, s := range services {
+		p.settings[s.Name] = s
+	}
+}
+
+// Members takes in the names of all live instances, in any order.
+func (p *Placer) Members(names []string) {
+	p.members = names
+}
+
+// Update takes in what a target says of itself. It returns the address that
+// the target had before, where that has changed.
+func (p *Placer) Update(now time.Time, l lacewingramp.Listing) (left string) {
+	if p.targets == nil {
+		p.targets = make(map[string]*target)
+	}
+	t, ok := p.targets[l.Name]
+	if ok && (t.Born != l.Born || t.Address != l.Address || t.Service != l.Service) {
+		left = t.Address
+		p.drop(t)
+		ok = false
+	}
+	if !ok {
+		t = &target{hash: xxhash.Sum64String(l.Name)}
+		p.targets[l.Name] = t
+		t.Listing = l
+		p.add(t)
+	}
+	t.Listing = l
+	t.region = p.Regions[l.Domain]
+	t.gone = false
+	if l.Cold > 0 {
+		t.coldUntil = now.Add(l.Cold + coldMargin)
+	}
+	return left
+}
+
+func (p *Placer) add(t *target) {
+	if p.services == nil {
+		p.services = make(map[string][]*target)
+	}
+	p.services[t.Service] = append(p.services[t.Service], t)
+}
+
+func (p *Placer) drop(t *target) {
+	delete(p.targets, t.Name)
+	list := p.services[t.Service]
+	kept := make([]*target, 0, len(list))
+	for _, o := range list {
+		if o != t {
+			kept = append(kept, o)
+		}
+	}
+	p.services[t.Service] = kept
+}
+
+// Remove forgets a target and returns its address.
+func (p *Placer) Remove(name string) (address string) {
+	t, ok := p.targets[name]
+	if !ok {
+		return ""
+	}
+	p.drop(t)
+	return t.Address
+}
+
+// Evacuate starts or ends the evacuation of a failure domain. Its targets
+// count as just started when they are taken back.
+func (p *Placer) Evacuate(now time.Time, domain string, on bool) {
+	if p.evacuated == nil {
+		p.evacuated = make(map[string]bool)
+	}
+	if p.evacuated[domain] && !on {
+		for _, t := range p.targets {
+			if t.Domain == domain {
+				p.chill(now, t)
+			}
+		}
+	}
+	p.evacuated[domain] = on
+}
+
+// chill takes a target as just started.
+func (p *Placer) chill(now time.Time, t *target) {
+	warmup := time.Duration(p.settings[t.Service].Warmup)
+	if until := now.Add(warmup + coldMargin); warmup > 0 && until.After(t.coldUntil) {
+		t.coldUntil = until
+	}
+}
+
+// Target returns what is known of a target.
+func (p *Placer) Target(name string) (lacewingramp.Listing, bool) {
+	t, ok := p.targets[name]
+	if !ok {
+		return lacewingramp.Listing{}, false
+	}
+	return t.Listing, true
+}
+
+// Names lists the targets' names.
+func (p *Placer) Names() []string {
+	all := make([]string, 0, len(p.targets))
+	for n := range p.targets {
+		all = append(all, n)
+	}
+	sort.Strings(all)
+	return all
+}
+
+// usable reports whether a target may get a request of the query at all.
+func (p *Placer) usable(now time.Time, t *target, q *Query) bool {
+	if t.Leaving || t.gone || p.evacuated[t.Domain] || now.Before(t.suspended) {
+		return false
+	}
+	if q.Version != "" && t.Version != q.Version {
+		return false
+	}
+	if !q.Routes.Allow(t.region) || !q.Homes.Allow(t.region) {
+		return false
+	}
+	for _, n := range q.Tried {
+		if n == t.Name {
+			return false
+		}
+	}
+	return true
+}
+
+// ranked is a target with its place in an object's order.
+type ranked struct {
+	*target
+	score float64
+}
+
+// order sorts the usable targets by rendezvous hashing, weighted by slots.
+func (p *Placer) order(now time.Time, q *Query) []ranked {
+	key := xxhash.Sum64String(q.Object)
+	var all []ranked
+	for _, t := range p.services[q.Service] {
+		if p.usable(now, t, q) {
+			all = append(all, ranked{target: t, score: score(key, t)})
+		}
+	}
+	if q.Object == "" {
+		sort.SliceStable(all, func(i, j int) bool { return all[i].fill(now) < all[j].fill(now) })
+		return all
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if all[i].score == all[j].score {
+			return all[i].Name < all[j].Name
+		}
+		return all[i].score > all[j].score
+	})
+	return all
+}
+
+func score(key uint64, t *target) float64 {
+	const unit = 1 << 53
+	h := mix(key ^ t.hash)
+	u := (float64(h>>11) + 0.5) / unit
+	return -float64(max(1, t.Slots)) / math.Log(u)
+}
+
+// mix spreads the bits of a hash, as in the finalizer of SplitMix64.
+func mix(h uint64) uint64 {
+	h ^= h >> 30
+	h *= 0xbf58476d1ce4e5b9
+	h ^= h >> 27
+	h *= 0x94d049bb133111eb
+	return h ^ h>>31
+}
+
+// busy estimates how many requests a target has from all instances.
+func (t *target) busy(now time.Time) float64 {
+	own := float64(t.inflight)
+	age := now.Sub(t.loadAt)
+	if t.loadAt.IsZero() || age > loadFresh {
+		return own
+	}
+	others := float64(max(0, t.load.Running+t.load.Waiting-t.loadOwn))
+	return own + others*math.Exp(-age.Seconds()/loadFade.Seconds())
+}
+
+func (t *target) fill(now time.Time) float64 {
+	return t.busy(now) / float64(max(1, t.Slots))
+}
+
+func (t *target) failing(now time.Time) bool {
+	return t.failures*math.Exp(-now.Sub(t.failureAt).Seconds()/failureFade.Seconds()) > failureMost
+}
+
+// Choose finds a target with room and counts the request there until Done.
+func (p *Placer) Choose(now time.Time, q Query) Choice {
+	all := p.order(now, &q)
+	if len(all) == 0 {
+		return Choice{}
+	}
+	if c, ok := p.first(now, all, func(t *target) bool {
+		return t.inflight < ownMost && t.fill(now) < 1 && !t.failing(now)
+	}); ok {
+		return c
+	}
+	sort.SliceStable(all, func(i, j int) bool { return all[i].fill(now) < all[j].fill(now) })
+	if c, ok := p.first(now, all, func(t *target) bool {
+		return t.inflight < ownMost && t.fill(now) < 1+queueShare
+	}); ok {
+		return c
+	}
+	return Choice{Full: true}
+}
+
+// first takes the first target that fits and has a token, where it is cold.
+func (p *Placer) first(now time.Time, all []ranked, fits func(*target) bool) (Choice, bool) {
+	for i, t := range all {
+		if !fits(t.target) {
+			continue
+		}
+		cold := now.Before(t.coldUntil)
+		if cold && !p.takeCold(now, t.target) {
+			continue
+		}
+		t.inflight++
+		chosen := t.Listing.Target
+		return Choice{Target: &chosen, Rank: i, Cold: cold}, true
+	}
+	return Choice{}, false
+}
+
+// takeCold asks for one start at a cold target, which one instance keeps the
+// rate of.
+func (p *Placer) takeCold(now time.Time, t *target) bool {
+	rate := p.settings[t.Service].Coldrate
+	if rate <= 0 {
+		return true
+	}
+	if p.owner(t) != p.Self {
+		return false
+	}
+	if t.tokensAt.IsZero() {
+		t.tokens = 1
+	} else {
+		t.tokens = math.Min(coldBurst, t.tokens+rate*now.Sub(t.tokensAt).Seconds())
+	}
+	t.tokensAt = now
+	if t.tokens < 1 {
+		return false
+	}
+	t.tokens--
+	return true
+}
+
+// owner is the instance that a cold target belongs to, by rendezvous hashing.
+func (p *Placer) owner(t *target) string {
+	best, most := p.Self, uint64(0)
+	for _, n := range p.members {
+		h := mix(xxhash.Sum64String(n) ^ t.hash)
+		if h >= most {
+			best, most = n, h
+		}
+	}
+	return best
+}
+
+// Cancel takes back a Choice that was not used.
+func (p *Placer) Cancel(name string) {
+	if t, ok := p.targets[name]; ok {
+		t.inflight = max(0, t.inflight-1)
+	}
+}
+
+// Done ends a request on a target and takes in what was learned.
+func (p *Placer) Done(now time.Time, r Report) {
+	t, ok := p.targets[r.Target]
+	if !ok {
+		return
+	}
+	t.inflight = max(0, t.inflight-1)
+	t.gone = t.gone || r.Gone
+	if r.Load != nil {
+		t.load, t.loadAt, t.loadOwn = *r.Load, now, t.inflight
+	}
+	if r.Cold > 0 {
+		t.coldUntil = now.Add(r.Cold + coldMargin)
+	}
+	if r.Shed {
+		t.load.Running, t.load.Waiting = t.Slots, t.Slots
+		t.loadAt, t.loadOwn = now, t.inflight
+	}
+	if r.Unreachable {
+		t.suspend = min(suspendMost, max(suspendFirst, 2*t.suspend))
+		t.suspended = now.Add(t.suspend)
+		p.chill(t.suspended, t)
+		return
+	}
+	t.suspend = 0
+	failed := 0.0
+	if r.Failed {
+		failed = 1
+	}
+	faded := t.failures * math.Exp(-now.Sub(t.failureAt).Seconds()/failureFade.Seconds())
+	t.failures = faded + failureWeight*(failed-faded)
+	t.failureAt = now
+}
--- a/table.go
+++ b/table.go
@@ -28,6 +28,9 @@
 	Links     []Link     `json:"link,omitempty"`
 	Rollouts  []Rollout  `json:"rollout,omitempty"`
 	Blocks    []Block    `json:"block,omitempty"`
+
+	// Bounds limits what callers may send.
+	Bounds *Bounds `json:"bounds,omitempty"`
 }
 
 // Region is a group of failure domains in one place. Timezone is an IANA
@@ -46,11 +49,27 @@
 }
 
 // Service is a group of routes that the same targets answer.
+//
+// Health is the path of its health check. Connections is how many a target
+// accepts from all callers together, 0 for no limit. A target that has just
+// started is slow for Warmup and takes at most Coldrate requests a second.
 type Service struct {
-	Name string `json:"name"`
+	Name        string   `json:"name"`
+	Health      string   `json:"health,omitempty"`
+	Connections int      `json:"connections,omitempty"`
+	Warmup      Duration `json:"warmup,omitempty"`
+	Coldrate    float64  `json:"coldrate,omitempty"`
 }
 
-// Route is one method and path of a service, in the patterns of net/http.
+// Route is one method and path of a service, in the patterns of net/http, or
+// a Host with a path Prefix, of which the longest that matches wins.
+//
+// Split divides a route among services by weight, in place of Service.
+// Attempts is the largest number of targets that one request may be sent to.
+// Objective is the time in which an answer is worth most to the caller. Rank
+// orders routes by urgency, 0 first. Affinity says that a target answers
+// faster for an object that it has handled lately. Regions, if any, are the
+// only ones in which the route may run.
 //
 // An open route needs no key. An idempotent route may run more than once. A
 // patient route waits behind others. Offline is how long keys are honoured
@@ -66,6 +85,14 @@
 	Patient    bool     `json:"patient,omitempty"`
 	Deadline   Duration `json:"deadline"`
 	Offline    Duration `json:"offline,omitempty"`
+	Host       string   `json:"host,omitempty"`
+	Prefix     string   `json:"prefix,omitempty"`
+	Split      Split    `json:"split,omitempty"`
+	Attempts   int      `json:"attempts,omitempty"`
+	Objective  Duration `json:"objective,omitempty"`
+	Rank       int      `json:"rank,omitempty"`
+	Affinity   bool     `json:"affinity,omitempty"`
+	Regions    Names    `json:"regions,omitempty"`
 }
 
 // Version is one version of a service.
@@ -87,12 +114,16 @@
 }
 
 // Customer is a tenant. Rate is in requests a second and Burst in requests,
-// both over the whole fleet. Weight is its part of a full queue.
+// both over the whole fleet. Weight is its part of a full queue. Rank is its
+// urgency, 0 first, which goes before that of a route. Regions, if any, are
+// the only ones in which its requests may run.
 type Customer struct {
-	Name   string  `json:"name"`
-	Rate   float64 `json:"rate"`
-	Burst  float64 `json:"burst"`
-	Weight float64 `json:"weight"`
+	Name    string  `json:"name"`
+	Rate    float64 `json:"rate"`
+	Burst   float64 `json:"burst"`
+	Weight  float64 `json:"weight"`
+	Rank    int     `json:"rank,omitempty"`
+	Regions Names   `json:"regions,omitempty"`
 }
 
 // Key grants a customer access. Hash is the SHA-256 of the key in hex.
--- a/table_check.go
+++ b/table_check.go
@@ -138,7 +138,7 @@
 	}
 	for i, r := range c.table.Routes {
 		c.name("route", i, r.Name)
-		c.known("route", i, "service", r.Service)
+		c.routeServices(i, r)
 		c.route(i, r)
 	}
 	for i, v := range c.table.Versions {
@@ -153,7 +153,24 @@
 
 var routeMethods = nameSet{"GET": {}, "HEAD": {}, "POST": {}, "PUT": {}, "PATCH": {}, "DELETE": {}}
 
+// routeServices checks that a route leads to services that are there.
+func (c *checker) routeServices(index int, r Route) {
+	if len(r.Split) == 0 {
+		c.known("route", index, "service", r.Service)
+		return
+	}
+	for _, p := range r.Split {
+		c.known("route", index, "service", p.Service)
+		c.between("route", index, "split", p.Weight, 0, maxWeight)
+	}
+}
+
 func (c *checker) route(index int, r Route) {
+	c.deadline(index, r)
+	if r.Prefix != "" {
+		c.prefix(index, r)
+		return
+	}
 	if _, ok := routeMethods[r.Method]; !ok {
 		c.fault("route", index, "method", r.Method, "one of GET, HEAD, POST, PUT, PATCH, DELETE")
 	}
@@ -163,6 +180,22 @@
 	if r.Path == "/steer" {
 		c.fault("route", index, "path", r.Path, "a path other than /steer, which answers look-ups")
 	}
+}
+
+// prefix checks a route that is found by its host and the begin of its path.
+func (c *checker) prefix(index int, r Route) {
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		c.fault("route", index, "prefix", r.Prefix, "a path that begins and ends with a slash")
+	}
+	if r.Host == "" {
+		c.fault("route", index, "host", r.Host, "the host that the prefix belongs to")
+	}
+	if r.Attempts < 0 {
+		c.fault("route", index, "attempts", strconv.Itoa(r.Attempts), "0 or more")
+	}
+}
+
+func (c *checker) deadline(index int, r Route) {
 	deadline := time.Duration(r.Deadline)
 	if deadline <= 0 || deadline > maxRouteDeadline {
 		c.fault("route", index, "deadline", deadline.String(), "a duration over 0s and up to 1h")
