Keep watch on the store with two instances, and share a cold target's rate at a start

Cause: (1) a watch that the store had dropped without a word was noticed at its end after 10 s, and all instances had one, so none was ahead. (2) A restarted instance does not know that a target has just become cold. Ruled out: a lost table (the mirror had every other change). Change: the first two instances in an order wait 0.8 s at most, the others hear of news by heartbeat; for 2 s after its start an instance uses its part of a target's cold rate.

--- a/heartbeat.go
+++ b/heartbeat.go
@@ -4,7 +4,8 @@
 // fits into a datagram: a lost one is made good by the next, as everything in
 // it is a state and not a change.
 //
-// Revision is up to where the instance knows the store. Demand is what its
+// Revision is up to where the instance knows the store, and Direct says that
+// the store answers it. Demand is what its
 // callers ask of customers' limits, in requests a second. Marks, Evidence and
 // Outcomes are those of the request prints and rollouts at hand.
 type Heartbeat struct {
@@ -15,6 +16,7 @@
 	Marks    []Mark             `cbor:"5,keyasint,omitempty"`
 	Evidence []Evidence         `cbor:"6,keyasint,omitempty"`
 	Outcomes []Outcome          `cbor:"7,keyasint,omitempty"`
+	Direct   bool               `cbor:"8,keyasint,omitempty"`
 }
 
 // Check reports a heartbeat that no instance sends.
--- a/internal/entry/edge/edge_beat.go
+++ b/internal/entry/edge/edge_beat.go
@@ -27,7 +27,8 @@
 		e.quota.Forget(name)
 	}
 	e.quota.Tick(now)
-	e.place.Members(e.members(now))
+	e.setMembers(now)
+	e.setWatch(now)
 	e.sweepLapsed(now)
 	e.tickRollouts(ctx, now)
 	h := e.heartbeat(now)
@@ -40,21 +41,21 @@
 	e.catchUp(ctx, now)
 }
 
-// members lists the instances that are alive, this one among them.
-func (e *Edge) members(now time.Time) []string {
+// setMembers tells the placement which instances are alive.
+func (e *Edge) setMembers(now time.Time) {
 	names := []string{e.Name}
 	for _, m := range e.roll.Alive(now) {
 		if !m.Leaving {
 			names = append(names, m.Name)
 		}
 	}
-	return names
+	e.place.Members(names, e.roll.Count(now))
 }
 
 func (e *Edge) heartbeat(now time.Time) *lacewingramp.Heartbeat {
 	e.self.Leaving = e.ending.Load()
 	h := &lacewingramp.Heartbeat{
-		Endpoint: e.self, Ready: e.Ready(), Revision: e.mirror.Revision(),
+		Endpoint: e.self, Ready: e.Ready(), Revision: e.mirror.Revision(), Direct: !e.store.lost,
 		Marks: e.ward.Marks(now), Evidence: e.rollouts.Evidence(), Outcomes: e.rollouts.Outcomes(),
 	}
 	for name, d := range e.quota.Demand(now) {
--- a/internal/entry/edge/edge_follow.go
+++ b/internal/entry/edge/edge_follow.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"lacewingramp.example/lacewingramp"
@@ -12,8 +13,14 @@
 )
 
 const (
-	// changesWait is how long the store is asked to wait for a change.
+	// changesWait is how long the store is asked to wait for a change, and
+	// watchWait how long by the instances that keep watch: a connection that
+	// has gone silent, or a watch that the store has dropped, is found by its
+	// end. The others hear of a change that they miss by heartbeat.
 	changesWait = 10 * time.Second
+	watchWait   = 800 * time.Millisecond
+	// watchers is how many instances keep watch.
+	watchers = 2
 	// snapshotTimeout bounds one reading of all keys.
 	snapshotTimeout = 3 * time.Second
 	// retryFirst and retryMost bound the pause after a failed call.
@@ -37,6 +44,7 @@
 	regained time.Time
 	reopen   func()
 	asking   bool
+	watching bool
 }
 
 // source is the mirror as other instances follow it.
@@ -88,9 +96,13 @@
 func (e *Edge) pull(ctx context.Context, f lacewingramp.Feed, whole bool) error {
 	e.mu.Lock()
 	after := e.mirror.Revision()
+	wait := changesWait
+	if e.store.watching {
+		wait = watchWait
+	}
 	e.mu.Unlock()
 	if !whole && after > 0 {
-		changes, revision, err := f.Changes(ctx, after, changesWait)
+		changes, revision, err := f.Changes(ctx, after, wait)
 		if err != nil {
 			return err
 		}
@@ -132,6 +144,23 @@
 	e.Log.Info().Dur("away", now.Sub(e.store.lostAt)).Int64("revision", e.mirror.Revision()).Msg("regained the store")
 }
 
+// setWatch finds out whether this instance keeps watch: the first few in an
+// order of those that reach the store.
+func (e *Edge) setWatch(now time.Time) {
+	own := xxhash.Sum64String(e.Name)
+	before := 0
+	for _, name := range e.roll.Direct(now) {
+		if xxhash.Sum64String(name) > own {
+			before++
+		}
+	}
+	watching := before < watchers
+	if watching && !e.store.watching && !e.store.lost {
+		e.store.reopen()
+	}
+	e.store.watching = watching
+}
+
 // catchUp asks another instance that knows more of the store, and has the
 // store's connection opened anew, which may have gone silent.
 func (e *Edge) catchUp(ctx context.Context, now time.Time) {
--- a/internal/entry/edge/edge_notice.go
+++ b/internal/entry/edge/edge_notice.go
@@ -129,4 +129,5 @@
 		return
 	}
 	e.roll.List(now, *n.Instance)
+	e.setMembers(now)
 }
--- a/internal/peer/heartbeat/roll.go
+++ b/internal/peer/heartbeat/roll.go
@@ -30,6 +30,7 @@
 	heard    time.Time
 	known    time.Time
 	ready    bool
+	direct   bool
 	listed   bool
 	revision int64
 	ahead    time.Time
@@ -80,7 +81,7 @@
 	regained = now.Sub(m.heard) > Lively
 	m.Endpoint = h.Endpoint
 	m.heard, m.known = now, now
-	m.ready = h.Ready
+	m.ready, m.direct = h.Ready, h.Direct
 	m.revision = max(m.revision, h.Revision)
 	return regained
 }
@@ -129,6 +130,15 @@
 	return r.pick(func(m *member) bool { return m.alive(now) && m.ready && !m.Leaving })
 }
 
+// Direct lists the names of the instances that the store answers.
+func (r *Roll) Direct(now time.Time) []string {
+	var all []string
+	for _, e := range r.pick(func(m *member) bool { return m.alive(now) && m.direct }) {
+		all = append(all, e.Name)
+	}
+	return all
+}
+
 func (r *Roll) pick(fits func(*member) bool) []lacewingramp.Endpoint {
 	var all []lacewingramp.Endpoint
 	for _, m := range r.all {
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -61,6 +61,9 @@
 	coldMargin = 300 * time.Millisecond
 	// coldBurst is how many requests a cold target may get at once.
 	coldBurst = 2.0
+	// uncertain is how long after its start an instance does not know which
+	// targets are cold: a listing may be that old.
+	uncertain = 2 * time.Second
 )
 
 // Query asks for a target. Version is empty for any. Object is empty where no
@@ -114,6 +117,8 @@
 	suspended time.Time
 	suspend   time.Duration
 	coldUntil time.Time
+	// known says that the listing was written after this instance's start.
+	known  bool
 	tokens    float64
 	tokensAt  time.Time
 	gone      bool
@@ -125,12 +130,15 @@
 	Self string
 	// Regions maps failure domains to regions.
 	Regions map[string]string
+	// Begun is when the instance started.
+	Begun time.Time
 
 	targets   map[string]*target
 	services  map[string][]*target
 	settings  map[string]lacewingramp.Service
 	evacuated map[string]bool
 	members   []string
+	most      int
 }
 
 // Configure takes in the services' settings.
@@ -141,9 +149,10 @@
 	}
 }
 
-// Members takes in the names of all live instances, in any order.
-func (p *Placer) Members(names []string) {
-	p.members = names
+// Members takes in the names of all live instances, in any order, and how many
+// there may be, as not all have been heard of at the start.
+func (p *Placer) Members(names []string, most int) {
+	p.members, p.most = names, most
 }
 
 // Update takes in what a target says of itself. It returns the address that
@@ -164,6 +173,7 @@
 		t.Listing = l
 		p.add(t)
 	}
+	t.known = t.known || (ok && t.Listing != l)
 	t.Listing = l
 	t.region = p.Regions[l.Domain]
 	t.gone = false
@@ -357,6 +367,9 @@
 		if cold && !p.takeCold(now, t.target) {
 			continue
 		}
+		if !cold && p.uncertain(now, t.target) && !p.takeUncertain(now, t.target) {
+			continue
+		}
 		t.inflight++
 		chosen := t.Listing.Target
 		return Choice{Target: &chosen, Rank: i, Cold: cold}, true
@@ -387,6 +400,35 @@
 	return true
 }
 
+// uncertain reports whether a target may be cold without its listing saying so.
+func (p *Placer) uncertain(now time.Time, t *target) bool {
+	return !t.known && now.Sub(p.Begun) < uncertain
+}
+
+// takeUncertain asks for one start at a target that may be cold, while any
+// instance may send there: each uses its part of the cold rate. The first
+// tokens differ from instance to instance, so that they do not all start at
+// the same moment.
+func (p *Placer) takeUncertain(now time.Time, t *target) bool {
+	rate := p.settings[t.Service].Coldrate
+	if rate <= 0 {
+		return true
+	}
+	part := rate / float64(max(1, p.most))
+	if t.tokensAt.IsZero() {
+		const unit = 1 << 53
+		t.tokens = math.Min(1, part) * float64(mix(xxhash.Sum64String(p.Self)^t.hash)>>11) / unit
+		t.tokensAt = p.Begun
+	}
+	t.tokens = math.Min(1, t.tokens+part*now.Sub(t.tokensAt).Seconds())
+	t.tokensAt = now
+	if t.tokens < 1 {
+		return false
+	}
+	t.tokens--
+	return true
+}
+
 // owner is the instance that a cold target belongs to, by rendezvous hashing.
 func (p *Placer) owner(t *target) string {
 	best, most := p.Self, uint64(0)
