Bound the time that ended listings are kept, and the starts after a restart of all

Cause: (1) a target whose listing ended 1.7 s after the store's return was kept 2.2 s more, past the time in which a leaving target may get requests. (2) After a restart of all instances each knew no other yet and took itself for the owner of every cold target. Ruled out: a lost change (all instances had revision 170 within 15 ms). Change: listings that end later than 2.2 s after the store's return have left; in the first 2 s of its life an instance uses its part of a cold target's rate.

--- a/internal/entry/edge/edge_follow.go
+++ b/internal/entry/edge/edge_follow.go
@@ -29,12 +29,12 @@
 	// aheadPatience is how long another instance must know more of the store
 	// before it is asked: a change reaches all within some tens of milliseconds.
 	aheadPatience = 200 * time.Millisecond
-	// lapseTime is how long listings that ended while the store was away have
-	// to come back.
+	// lapseTime is how long after the store's return listings that ended while
+	// it was away have to come back. Those that end later have left.
 	lapseTime = 2200 * time.Millisecond
-	// lapseWatch is how long after the store's return ended listings are
-	// taken as lapsed and not as left.
-	lapseWatch = 3 * time.Second
+	// relayedLapse is the same for listings whose end another instance tells
+	// while the store does not answer this one.
+	relayedLapse = 1700 * time.Millisecond
 )
 
 // storeState is what an instance knows of its way to the store.
--- a/internal/entry/edge/edge_notice.go
+++ b/internal/entry/edge/edge_notice.go
@@ -67,9 +67,10 @@
 func (e *Edge) takeListing(now time.Time, n *lacewingramp.Notice) {
 	name := n.Listing.Name
 	if n.Removed {
-		if e.storeAway(now) {
-			e.lapsed[name] = now.Add(lapseTime)
-			e.Log.Info().Str("target", name).Int64("revision", n.Revision).Msg("a listing ended while the store was away")
+		if until, ok := e.lapseEnd(now); ok {
+			e.lapsed[name] = until
+			e.Log.Info().Str("target", name).Int64("revision", n.Revision).Dur("kept", until.Sub(now)).
+				Msg("a listing ended while the store was away")
 			return
 		}
 		e.removeTarget(now, name, n.Revision)
@@ -88,10 +89,14 @@
 	}
 }
 
-// storeAway reports whether listings may have ended because the store was
-// away, and not because their targets have left.
-func (e *Edge) storeAway(now time.Time) bool {
-	return e.store.lost || now.Sub(e.store.regained) < lapseWatch
+// lapseEnd returns until when a listing that ends now may come back, if it may
+// have ended because the store was away and not because its target has left.
+func (e *Edge) lapseEnd(now time.Time) (time.Time, bool) {
+	if e.store.lost {
+		return now.Add(relayedLapse), true
+	}
+	until := e.store.regained.Add(lapseTime)
+	return until, now.Before(until)
 }
 
 func (e *Edge) removeTarget(now time.Time, name string, revision int64) {
@@ -107,7 +112,7 @@
 // after the store has.
 func (e *Edge) sweepLapsed(now time.Time) {
 	for name, until := range e.lapsed {
-		if e.store.lost {
+		if e.store.lost && len(e.roll.Direct(now)) == 0 {
 			e.lapsed[name] = now.Add(lapseTime)
 			continue
 		}
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -364,10 +364,7 @@
 			continue
 		}
 		cold := now.Before(t.coldUntil)
-		if cold && !p.takeCold(now, t.target) {
-			continue
-		}
-		if !cold && p.uncertain(now, t.target) && !p.takeUncertain(now, t.target) {
+		if !p.mayStart(now, t.target, cold) {
 			continue
 		}
 		t.inflight++
@@ -400,9 +397,18 @@
 	return true
 }
 
-// uncertain reports whether a target may be cold without its listing saying so.
-func (p *Placer) uncertain(now time.Time, t *target) bool {
-	return !t.known && now.Sub(p.Begun) < uncertain
+// mayStart asks for one start at a target that is or may be cold. In the time
+// after its start an instance knows neither which targets are cold nor which
+// instance keeps their rate.
+func (p *Placer) mayStart(now time.Time, t *target, cold bool) bool {
+	switch {
+	case now.Sub(p.Begun) < uncertain && (cold || !t.known):
+		return p.takeUncertain(now, t)
+	case cold:
+		return p.takeCold(now, t)
+	default:
+		return true
+	}
 }
 
 // takeUncertain asks for one start at a target that may be cold, while any
