Let an object's first targets fill up before it goes elsewhere

Two requests at a target from one instance, whatever its slots, made that the rule on targets of eight slots.

--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -37,9 +37,9 @@
 )
 
 const (
-	// ownMost is how many requests this instance has at one target at a time,
-	// as it does not know what the others send there.
-	ownMost = 2
+	ownLeast   = 2
+	ownDivisor = 1
+	farMost    = 4
 	// loadFresh is how long a target's word on its load counts.
 	loadFresh = 1500 * time.Millisecond
 	// loadFade is how fast the load of other instances is taken to pass.
@@ -66,6 +66,10 @@
 	uncertain = 2 * time.Second
 )
 
+// fillMost is how full the first targets of an object's order may be, in
+// requests for each slot.
+var fillMost = [...]float64{2.0, 1.5, 1.0}
+
 // Query asks for a target. Version is empty for any. Object is empty where no
 // target is better than another. Tried are targets that were asked before.
 type Query struct {
@@ -318,6 +322,12 @@
 	return h ^ h>>31
 }
 
+// ownMost is how many requests this instance has at a target at a time, as it
+// does not know all that the others send there.
+func (t *target) ownMost() int {
+	return max(ownLeast, (t.Slots+1)/ownDivisor)
+}
+
 // busy estimates how many requests a target has from all instances.
 func (t *target) busy(now time.Time) float64 {
 	own := float64(t.inflight)
@@ -343,14 +353,15 @@
 	if len(all) == 0 {
 		return Choice{}
 	}
-	if c, ok := p.first(now, all, func(t *target) bool {
-		return t.inflight < ownMost && t.fill(now) < 1 && !t.failing(now)
+	if c, ok := p.first(now, all[:min(len(all), len(fillMost))], func(i int, t *target) bool {
+		return t.inflight < t.ownMost() && t.fill(now) < fillMost[i] && !t.failing(now)
 	}); ok {
 		return c
 	}
+	all = all[:min(len(all), farMost)]
 	sort.SliceStable(all, func(i, j int) bool { return all[i].fill(now) < all[j].fill(now) })
-	if c, ok := p.first(now, all, func(t *target) bool {
-		return t.inflight < ownMost && t.fill(now) < 1+queueShare
+	if c, ok := p.first(now, all, func(_ int, t *target) bool {
+		return t.inflight < t.ownMost() && t.fill(now) < 1+queueShare
 	}); ok {
 		return c
 	}
@@ -358,9 +369,9 @@
 }
 
 // first takes the first target that fits and has a token, where it is cold.
-func (p *Placer) first(now time.Time, all []ranked, fits func(*target) bool) (Choice, bool) {
+func (p *Placer) first(now time.Time, all []ranked, fits func(int, *target) bool) (Choice, bool) {
 	for i, t := range all {
-		if !fits(t.target) {
+		if !fits(i, t.target) {
 			continue
 		}
 		cold := now.Before(t.coldUntil)
