Prefer targets of the caller's region in an object's order

Cause: bytes between regions are the largest price, and an answer from another region takes 24 to 70 ms longer; an object is asked for from one region mostly. Change: targets of the instance's own region count three times in the order.

--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -129,7 +129,7 @@
 	}
 	e.client.Wire = p.Wire
 	e.server = caller.Server{Handle: e.handle, Bounds: e.bounds, Malformed: e.malformed}
-	e.place = placement.Placer{Self: s.Name, Regions: s.Regions, Begun: now}
+	e.place = placement.Placer{Self: s.Name, Regions: s.Regions, Home: s.Region, Begun: now}
 	e.budget = retry.Budget{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow}
 	e.ward = poison.Ward{Instance: s.Name}
 	e.rollouts = rollout.NewManager(s.Name + lifeMark + now.Format(time.RFC3339Nano))
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -37,6 +37,7 @@
 )
 
 const (
+	homeWeight = 3.0
 	ownLeast   = 2
 	ownDivisor = 1
 	farMost    = 4
@@ -134,6 +135,8 @@
 	Self string
 	// Regions maps failure domains to regions.
 	Regions map[string]string
+	// Home is the region of this instance.
+	Home string
 	// Begun is when the instance started.
 	Begun time.Time
 
@@ -290,7 +293,11 @@
 	var all []ranked
 	for _, t := range p.services[q.Service] {
 		if p.usable(now, t, q) {
-			all = append(all, ranked{target: t, score: score(key, t)})
+			w := score(key, t)
+			if t.region == p.Home {
+				w *= homeWeight
+			}
+			all = append(all, ranked{target: t, score: w})
 		}
 	}
 	if q.Object == "" {
