Ask targets for their health after a restart, and count unheard instances in the quota

(2) Instances that had just started each took the whole of a customer's limit for theirs, as they knew no others yet. Ruled out: caches that were lost (targets stay warm over the restart).

--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -52,6 +52,9 @@
 	// instances.
 	Callers string
 	Peer    string
+	// Bootstrap says that the whole deployment starts for the first time, so
+	// that no target can be cold from traffic that this instance has missed.
+	Bootstrap bool
 	// Stop is the time that a stop may take.
 	Stop        time.Duration
 	RetryRatio  float64
@@ -117,6 +120,7 @@
 	splits   map[string]*split
 	roll     heartbeat.Roll
 	lapsed   map[string]time.Time
+	probed   map[string]bool
 	store    storeState
 }
 
@@ -129,13 +133,17 @@
 	}
 	e.client.Wire = p.Wire
 	e.server = caller.Server{Handle: e.handle, Bounds: e.bounds, Malformed: e.malformed}
-	e.place = placement.Placer{Self: s.Name, Regions: s.Regions, Home: s.Region, Begun: now}
+	e.place = placement.Placer{Self: s.Name, Regions: s.Regions, Home: s.Region}
+	if !s.Bootstrap {
+		e.place.Begun = now
+	}
 	e.budget = retry.Budget{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow}
 	e.ward = poison.Ward{Instance: s.Name}
 	e.rollouts = rollout.NewManager(s.Name + lifeMark + now.Format(time.RFC3339Nano))
 	e.orders = make(map[string]*order)
 	e.splits = make(map[string]*split)
 	e.lapsed = make(map[string]time.Time)
+	e.probed = make(map[string]bool)
 	e.roll = heartbeat.Roll{Self: s.Name}
 	e.store.reopen = func() {}
 	return e
--- a/internal/entry/edge/edge_beat.go
+++ b/internal/entry/edge/edge_beat.go
@@ -26,8 +26,8 @@
 	for _, name := range e.roll.Sweep(now) {
 		e.quota.Forget(name)
 	}
-	e.quota.Tick(now)
 	e.setMembers(now)
+	e.quota.Tick(now)
 	e.setWatch(now)
 	e.sweepLapsed(now)
 	e.tickRollouts(ctx, now)
@@ -41,7 +41,7 @@
 	e.catchUp(ctx, now)
 }
 
-// setMembers tells the placement which instances are alive.
+// setMembers tells the placement and the quota which instances are alive.
 func (e *Edge) setMembers(now time.Time) {
 	names := []string{e.Name}
 	for _, m := range e.roll.Alive(now) {
@@ -49,7 +49,9 @@
 			names = append(names, m.Name)
 		}
 	}
-	e.place.Members(names, e.roll.Count(now))
+	most := e.roll.Count(now)
+	e.place.Members(names, most)
+	e.quota.Instances(most)
 }
 
 func (e *Edge) heartbeat(now time.Time) *lacewingramp.Heartbeat {
--- a/internal/entry/edge/edge_notice.go
+++ b/internal/entry/edge/edge_notice.go
@@ -19,6 +19,7 @@
 		}
 		e.notice(now, &n)
 	}
+	e.probeUncertain(now)
 }
 
 // unreadable drops the target of a listing that can not be read.
@@ -135,4 +136,5 @@
 	}
 	e.roll.List(now, *n.Instance)
 	e.setMembers(now)
+	e.quota.Tick(now)
 }
--- a/internal/limit/share/share.go
+++ b/internal/limit/share/share.go
@@ -44,8 +44,15 @@
 
 // Book holds one instance's parts of all limits. Its zero value is ready.
 type Book struct {
-	accounts map[string]*account
-	peers    map[string]Demand
+	accounts  map[string]*account
+	peers     map[string]Demand
+	instances int
+}
+
+// Instances takes in how many instances there may be. Those that have not been
+// heard yet are taken to have the demand of this one.
+func (b *Book) Instances(n int) {
+	b.instances = n
 }
 
 // account is one customer's limit at this instance.
@@ -175,5 +182,8 @@
 	for _, d := range b.peers {
 		sum += d[name] + demandLeast
 	}
+	if unheard := b.instances - 1 - len(b.peers); unheard > 0 {
+		sum += float64(unheard) * own
+	}
 	return own / sum
 }
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -123,10 +123,10 @@
 	suspend   time.Duration
 	coldUntil time.Time
 	// known says that the listing was written after this instance's start.
-	known  bool
-	tokens    float64
-	tokensAt  time.Time
-	gone      bool
+	known    bool
+	tokens   float64
+	tokensAt time.Time
+	gone     bool
 }
 
 // Placer knows the targets of all services. Its zero value knows none.
@@ -429,6 +429,37 @@
 	}
 }
 
+// Uncertain lists the targets of which this instance does not know whether
+// they are cold.
+func (p *Placer) Uncertain(now time.Time) []lacewingramp.Target {
+	var all []lacewingramp.Target
+	if now.Sub(p.Begun) >= uncertain {
+		return nil
+	}
+	for _, name := range p.Names() {
+		if t := p.targets[name]; !t.known && !t.Leaving {
+			all = append(all, t.Target)
+		}
+	}
+	return all
+}
+
+// Probed takes in what a target said of itself when it was asked.
+func (p *Placer) Probed(now time.Time, r Report) {
+	t, ok := p.targets[r.Target]
+	if !ok {
+		return
+	}
+	t.known = true
+	t.coldUntil = time.Time{}
+	if r.Cold > 0 {
+		t.coldUntil = now.Add(r.Cold + coldMargin)
+	}
+	if r.Load != nil {
+		t.load, t.loadAt, t.loadOwn = *r.Load, now, t.inflight
+	}
+}
+
 // takeUncertain asks for one start at a target that may be cold, while any
 // instance may send there: each uses its part of the cold rate. The first
 // tokens differ from instance to instance, so that they do not all start at
