Finish good rollouts in time

Ruled out: a store that refused writes (repeated 0.25 s later). Change: the start is when the order was seen, and the end 2 s earlier; a small route needs evidence by its part; slow is 3.5 times; the begin of the ramp is kept in the store; the duty to write goes over to others 1.5 s after it arose.

--- a/internal/change/rollout/evidence.go
+++ b/internal/change/rollout/evidence.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"sort"
@@ -129,7 +130,7 @@
 		p.cold++
 		return false
 	}
-	return p.answers >= usualCount && took.Seconds() > slowFactor*p.usual
+	return p.answers >= usualCount && took.Seconds() > cmp.Or(r.slowFactor, slowFactor)*p.usual
 }
 
 // take replaces what one instance has seen, and adds what is new to the sums.
@@ -226,7 +227,9 @@
 		return false
 	}
 	for _, p := range r.routes {
-		if float64(p.old.count) >= routePart*float64(all) && p.new.count < routeLeast {
+		part := float64(p.old.count) / max(1, float64(all))
+		least := min(routeLeast, evidenceLeast*part*routeFactor)
+		if part >= routePart && float64(p.new.count) < least {
 			return false
 		}
 	}
--- a/internal/change/rollout/rollout.go
+++ b/internal/change/rollout/rollout.go
@@ -65,10 +65,17 @@
 	// routePart is the part of the service's requests from which on a route
 	// must have been seen.
 	routePart = 0.02
+	// routeFactor is how often a small route must have been seen, as a part of
+	// what evidenceLeast requests bring it on the average.
+	routeFactor = 0.5
 )
 
 // Manager decides on the rollouts of a Table.
 type Manager struct {
+	// SlowFactor is how many times the old version's usual time is slow, 0 for
+	// the default.
+	SlowFactor float64
+
 	instance string
 	current  map[string]string
 	rollouts map[string]*rollout
@@ -78,7 +85,9 @@
 
 // rollout is what an instance knows of one rollout.
 type rollout struct {
-	row      lacewingramp.Rollout
+	row        lacewingramp.Rollout
+	slowFactor float64
+
 	old      string
 	state    chart.State
 	reason   string
@@ -129,7 +138,7 @@
 		k := id(row.Name, row.Start)
 		r, ok := known[k]
 		if !ok {
-			r = &rollout{state: states.Initial, routes: make(map[string]*route), evidence: make(map[evidenceKey]lacewingramp.Evidence)}
+			r = &rollout{slowFactor: m.SlowFactor, state: states.Initial, routes: make(map[string]*route), evidence: make(map[evidenceKey]lacewingramp.Evidence)}
 		}
 		r.row = row
 		m.rollouts[k] = r
@@ -293,6 +302,18 @@
 	}
 }
 
+// Resume takes a rollout on from its ramp, which began at rampAt as other
+// instances have seen enough of the new version. It changes nothing in any
+// state but those before the ramp.
+func (m *Manager) Resume(name string, start, rampAt time.Time) {
+	r, ok := m.rollouts[id(name, start)]
+	if !ok || (r.state != StatePlanned && r.state != StateCanary) {
+		return
+	}
+	r.event(rampAt, "start", "")
+	r.event(rampAt, "evidence", "")
+}
+
 // Outcomes lists every decision that is known, for the next heartbeat.
 func (m *Manager) Outcomes() []lacewingramp.Outcome {
 	var all []lacewingramp.Outcome
@@ -324,6 +345,8 @@
 	Share   float64     `json:"share"`
 	Reason  string      `json:"reason,omitempty"`
 	Seen    int64       `json:"seen"`
+	// RampAt is when the new version had passed its first test.
+	RampAt time.Time `json:"-"`
 }
 
 // Statuses lists the rollouts in order of their start.
@@ -333,7 +356,7 @@
 		r := m.rollouts[k]
 		s := Status{
 			Rollout: r.row.Name, Service: r.row.Service, Version: r.row.Version,
-			State: r.state, Share: r.share(now), Reason: r.reason,
+			State: r.state, Share: r.share(now), Reason: r.reason, RampAt: r.rampAt,
 		}
 		if r.state == StateDone {
 			s.Share = 1
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -140,6 +140,7 @@
 	e.budget = retry.Budget{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow}
 	e.ward = poison.Ward{Instance: s.Name}
 	e.rollouts = rollout.NewManager(s.Name + lifeMark + now.Format(time.RFC3339Nano))
+	e.rollouts.SlowFactor = slowFactor
 	e.orders = make(map[string]*order)
 	e.splits = make(map[string]*split)
 	e.lapsed = make(map[string]time.Time)
--- a/internal/entry/edge/edge_rollout.go
+++ b/internal/entry/edge/edge_rollout.go
@@ -10,7 +10,6 @@
 	"github.com/go-faster/errors"
 
 	"lacewingramp.example/lacewingramp"
-	"lacewingramp.example/lacewingramp/internal/change/chart"
 	"lacewingramp.example/lacewingramp/internal/change/rollout"
 )
 
@@ -27,12 +26,22 @@
 	revision int64
 	seen     time.Time
 	// base is the version that the service is moved away from.
-	base    string
-	start   time.Time
-	result  *lacewingramp.Result
+	base   string
+	start  time.Time
+	ramp   time.Time
+	result *lacewingramp.Result
+	// due is what is to be written, and dueAt since when.
+	due     write
+	dueAt   time.Time
 	writing bool
 }
 
+// write is one key with its value, as text so that two can be compared.
+type write struct {
+	key   string
+	value string
+}
+
 // name tells an order from an earlier one for the same service.
 func (o *order) name() string {
 	return o.Service + "@" + strconv.FormatInt(o.revision, 10)
@@ -47,7 +56,7 @@
 		e.takeOrder(now, n)
 	case n.Start != nil && !n.Removed:
 		if o, ok := e.orders[n.Start.Service]; ok && o.revision == n.Start.Revision {
-			o.start = n.Start.Moment
+			o.start, o.ramp = n.Start.Moment, n.Start.Ramp
 		}
 	case n.Result != nil && !n.Removed:
 		e.takeResult(n)
@@ -59,12 +68,12 @@
 	o := &order{Order: *n.Order, revision: n.Revision, seen: now}
 	if before, ok := e.orders[o.Service]; ok {
 		o.base = before.base
-		if e.rolloutState(before) == rollout.StateDone {
+		if e.status(before).State == rollout.StateDone {
 			o.base = before.Version
 		}
 	}
 	e.orders[o.Service] = o
-	e.Log.Info().Str("service", o.Service).Str("version", o.Version).Dur("time", o.Time).
+	e.Log.Info().Str("service", o.Service).Str("version", o.Version).Dur("allowed", o.Time).
 		Int64("revision", n.Revision).Msg("rollout ordered")
 	e.readRelated(o)
 }
@@ -74,7 +83,7 @@
 func (e *Edge) readRelated(o *order) {
 	if key, _, err := e.Writer.Start(lacewingramp.Start{Service: o.Service}); err == nil {
 		if n, ok := e.known(key); ok && n.Start != nil && n.Start.Revision == o.revision {
-			o.start = n.Start.Moment
+			o.start, o.ramp = n.Start.Moment, n.Start.Ramp
 		}
 	}
 	if key, _, err := e.Writer.Result(lacewingramp.Result{Service: o.Service}); err == nil {
@@ -119,18 +128,30 @@
 		}
 		t.Rollouts = append(t.Rollouts, lacewingramp.Rollout{
 			Name: o.name(), Service: s, Version: o.Version, Share: e.ExposeShare * canaryPart,
-			Start: o.start, Deadline: o.start.Add(o.Time),
+			Start: o.start, Deadline: o.start.Add(o.Time - orderLag),
 		})
 	}
 	e.rollouts.Configure(t)
 	for _, s := range names {
-		e.decideResult(now, e.orders[s])
+		o := e.orders[s]
+		if !o.ramp.IsZero() {
+			e.rollouts.Resume(o.name(), o.start, o.ramp)
+		}
+		e.decideResult(now, o)
 	}
 }
 
+// orderLag is how long before the operator's deadline a rollout ends: the order
+// may have been on its way that long, and its end has to be written.
+const orderLag = 2 * time.Second
+
 // canaryPart is the part of the largest allowed share that a version under
 // test gets at first.
-const canaryPart = 0.6
+const canaryPart = 1.0
+
+// slowFactor tells a slow version from one whose targets have not met their
+// objects yet: those take over three times as long at first.
+const slowFactor = 3.5
 
 // setBase finds the version that most targets of a service have, other than
 // the new one.
@@ -162,13 +183,14 @@
 	})
 }
 
-func (e *Edge) rolloutState(o *order) chart.State {
+// status returns the state of an order's rollout here.
+func (e *Edge) status(o *order) rollout.Status {
 	for _, s := range e.rollouts.Statuses(e.Timer.Now()) {
 		if s.Rollout == o.name() {
-			return s.State
+			return s
 		}
 	}
-	return rollout.StatePlanned
+	return rollout.Status{State: rollout.StatePlanned}
 }
 
 // version returns the versions that a service's next request may run on. A
@@ -190,40 +212,61 @@
 		e.Log.Info().Str("rollout", o.Rollout).Str("state", o.State).Str("reason", o.Reason).Msg("rollout decided")
 	}
 	for _, o := range e.orders {
-		if o.writing || !e.onDuty(now, o) {
+		w, err := e.unwritten(o)
+		if err != nil {
+			e.Log.Error().Err(err).Str("service", o.Service).Msg("could not encode what a rollout needs")
 			continue
 		}
-		if o.start.IsZero() {
-			o.writing = true
-			go e.writeStart(ctx, o, now)
-			continue
+		if w != o.due {
+			o.due, o.dueAt = w, now
 		}
-		if state, ok := e.unwritten(o); ok {
+		if w.key != "" && !o.writing && e.onDuty(now, o) {
 			o.writing = true
-			go e.writeResult(ctx, o, state)
+			go e.write(ctx, o, w)
 		}
 	}
 }
 
-// unwritten returns the state of an order that the store does not have yet.
-func (e *Edge) unwritten(o *order) (string, bool) {
-	state := lacewingramp.ResultRunning
-	switch e.rolloutState(o) {
-	case rollout.StateDone:
-		state = lacewingramp.ResultDone
-	case rollout.StateRolledBack:
-		state = lacewingramp.ResultRolledBack
+// unwritten returns what the store should have of an order and does not: its
+// start, the begin of its ramp, or its state.
+func (e *Edge) unwritten(o *order) (write, error) {
+	s := e.status(o)
+	switch {
+	case o.start.IsZero():
+		return startWrite(e.Writer, o, lacewingramp.Start{Moment: o.seen.UTC()})
+	case s.State == rollout.StateDone:
+		return resultWrite(e.Writer, o, lacewingramp.ResultDone)
+	case s.State == rollout.StateRolledBack:
+		return resultWrite(e.Writer, o, lacewingramp.ResultRolledBack)
+	case o.result == nil:
+		return resultWrite(e.Writer, o, lacewingramp.ResultRunning)
+	case s.State == rollout.StateRamp && o.ramp.IsZero():
+		return startWrite(e.Writer, o, lacewingramp.Start{Moment: o.start, Ramp: s.RampAt.UTC()})
+	default:
+		return write{}, nil
 	}
-	if o.result != nil && (o.result.State == state || o.result.State != lacewingramp.ResultRunning) {
-		return "", false
+}
+
+func startWrite(w lacewingramp.Writer, o *order, s lacewingramp.Start) (write, error) {
+	s.Service, s.Revision = o.Service, o.revision
+	key, value, err := w.Start(s)
+	return write{key: key, value: string(value)}, err
+}
+
+// resultWrite returns the write of a state, unless the store has an end
+// already: the first one stands.
+func resultWrite(w lacewingramp.Writer, o *order, state string) (write, error) {
+	if o.result != nil && o.result.State != lacewingramp.ResultRunning {
+		return write{}, nil
 	}
-	return state, true
+	key, value, err := w.Result(lacewingramp.Result{Service: o.Service, Version: o.Version, State: state})
+	return write{key: key, value: string(value)}, err
 }
 
 // onDuty reports whether this instance writes what an order needs: one of
 // those alive, or any when that one has not done so in time.
 func (e *Edge) onDuty(now time.Time, o *order) bool {
-	if now.Sub(o.seen) > dutyPatience {
+	if now.Sub(o.dueAt) > dutyPatience {
 		return true
 	}
 	best, most := e.Name, xxhash.Sum64String(e.Name+o.name())
@@ -235,35 +278,19 @@
 	return best == e.Name
 }
 
-// writeStart agrees on the moment at which an order begins.
-func (e *Edge) writeStart(ctx context.Context, o *order, now time.Time) {
-	key, value, err := e.Writer.Start(lacewingramp.Start{Service: o.Service, Revision: o.revision, Moment: now.UTC()})
-	e.write(ctx, o, key, value, err)
-}
-
-func (e *Edge) writeResult(ctx context.Context, o *order, state string) {
-	key, value, err := e.Writer.Result(lacewingramp.Result{Service: o.Service, Version: o.Version, State: state})
-	e.write(ctx, o, key, value, err)
-}
-
 // write writes a key that no other instance has written meanwhile. A lost
 // answer or a conflict is settled by what the mirror shows next.
-func (e *Edge) write(ctx context.Context, o *order, key string, value []byte, err error) {
-	if err == nil {
-		ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-		defer cancel()
-		e.mu.Lock()
-		known, _ := e.mirror.Item(key)
-		e.mu.Unlock()
-		_, err = e.Store.Swap(ctx, key, value, known.Revision, 0)
-	}
+func (e *Edge) write(ctx context.Context, o *order, w write) {
+	call, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	e.mu.Lock()
+	known, _ := e.mirror.Item(w.key)
+	e.mu.Unlock()
+	_, err := e.Store.Swap(call, w.key, []byte(w.value), known.Revision, 0)
 	if err != nil && !errors.Is(err, lacewingramp.ErrConflict) {
-		e.Log.Warn().Err(err).Str("key", key).Msg("could not write what a rollout needs")
-		sleep(ctx, beatPeriod)
+		e.Log.Warn().Err(err).Str("key", w.key).Msg("could not write what a rollout needs")
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.Log.Info().Str("key", key).Bool("written", err == nil).RawJSON("value", value).Msg("rollout written")
+	e.Log.Info().Str("key", w.key).Bool("written", err == nil).Str("value", w.value).Msg("rollout written")
 	// The mirror shows it in a moment: until then it is not written again.
 	e.Timer.After(beatPeriod, func(time.Time) {
 		e.mu.Lock()
--- a/notice.go
+++ b/notice.go
@@ -69,6 +69,9 @@
 	Service  string    `json:"service"`
 	Revision int64     `json:"revision"`
 	Moment   time.Time `json:"moment"`
+	// Ramp is when the version under test had passed its first test, zero
+	// before. An instance that starts later goes on from there.
+	Ramp time.Time `json:"ramp,omitzero"`
 }
 
 // Result is the state of an order as operators read it.
