Keep an object at two targets

Ruled out: an order of targets that changes with a restart (it does not). Change: a request goes to the first two warm targets of its object, or is refused with a time to come back.

--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -37,17 +37,15 @@
 )
 
 const (
-	homeWeight = 3.0
-	ownLeast   = 2
-	ownDivisor = 1
-	farMost    = 4
 	// loadFresh is how long a target's word on its load counts.
 	loadFresh = 1500 * time.Millisecond
 	// loadFade is how fast the load of other instances is taken to pass.
 	loadFade = 400 * time.Millisecond
-	// queueShare is how many requests may wait at a target for each slot when
-	// every target is full.
-	queueShare = 0.7
+	// spread is how many targets an object is kept at.
+	spread = 2
+	// fillLast is how full a target may be, in requests for each slot, when all
+	// that an object may go to are full.
+	fillLast = 1.7
 	// failureFade is how fast failures of a target are forgotten.
 	failureFade = 2 * time.Second
 	// failureMost is the part of failures above which a target is avoided.
@@ -65,11 +63,17 @@
 	// uncertain is how long after its start an instance does not know which
 	// targets are cold: a listing may be that old.
 	uncertain = 2 * time.Second
+	// homeWeight is how much a target of the instance's own region counts in
+	// an object's order, against one elsewhere: its answers are sooner here and
+	// cost nothing on the links between regions.
+	homeWeight = 3.0
+	// ownLeast is how many requests an instance may have at any target.
+	ownLeast = 2
 )
 
 // fillMost is how full the first targets of an object's order may be, in
 // requests for each slot.
-var fillMost = [...]float64{2.0, 1.5, 1.0}
+var fillMost = [...]float64{2.0, 1.5}
 
 // Query asks for a target. Version is empty for any. Object is empty where no
 // target is better than another. Tried are targets that were asked before.
@@ -332,7 +336,7 @@
 // ownMost is how many requests this instance has at a target at a time, as it
 // does not know all that the others send there.
 func (t *target) ownMost() int {
-	return max(ownLeast, (t.Slots+1)/ownDivisor)
+	return max(ownLeast, t.Slots)
 }
 
 // busy estimates how many requests a target has from all instances.
@@ -360,21 +364,37 @@
 	if len(all) == 0 {
 		return Choice{}
 	}
-	if c, ok := p.first(now, all[:min(len(all), len(fillMost))], func(i int, t *target) bool {
-		return t.inflight < t.ownMost() && t.fill(now) < fillMost[i] && !t.failing(now)
+	all = near(now, all)
+	if c, ok := p.first(now, all, func(i int, t *target) bool {
+		return t.inflight < t.ownMost() && t.fill(now) < fillMost[min(i, len(fillMost)-1)] && !t.failing(now)
 	}); ok {
 		return c
 	}
-	all = all[:min(len(all), farMost)]
 	sort.SliceStable(all, func(i, j int) bool { return all[i].fill(now) < all[j].fill(now) })
 	if c, ok := p.first(now, all, func(_ int, t *target) bool {
-		return t.inflight < t.ownMost() && t.fill(now) < 1+queueShare
+		return t.inflight < t.ownMost() && t.fill(now) < fillLast
 	}); ok {
 		return c
 	}
 	return Choice{Full: true}
 }
 
+// near returns the targets that an object may go to: the first few that are
+// warm, and the cold ones before them. Further ones do not know the object, and
+// would forget another for it.
+func near(now time.Time, all []ranked) []ranked {
+	warm := 0
+	for i, t := range all {
+		if now.Before(t.coldUntil) {
+			continue
+		}
+		if warm++; warm == spread {
+			return all[:i+1]
+		}
+	}
+	return all
+}
+
 // first takes the first target that fits and has a token, where it is cold.
 func (p *Placer) first(now time.Time, all []ranked, fits func(int, *target) bool) (Choice, bool) {
 	for i, t := range all {
