Test the packages of the path on the platform

Each of the new packages has tests on the manual clock or on loopback: the part of a limit, the retry budget, placement and cold rates, the mirror against a random history, routes and keys, messages (fuzzed), exchanges with a target that fails in every way, callers' connections, heartbeats, followers, the platform's documents, headers, settings (fuzzed) and store, and an instance as a whole against stand-ins.

--- a/internal/call/message/message.go
+++ b/internal/call/message/message.go
@@ -192,7 +192,7 @@
 func (r *Reader) Answer(method string) (*Answer, error) {
 	for {
 		r.limit.left = answerHeaderMost
-		p, err := http.ReadResponse(r.Reader, &http.Request{Method: method})
+		p, err := http.ReadResponse(r.Reader, &http.Request{Method: method}) //nolint:bodyclose // wholeAnswer closes it
 		r.limit.left = -1
 		if err != nil {
 			return nil, err
@@ -205,6 +205,7 @@
 }
 
 func wholeAnswer(p *http.Response) (*Answer, error) {
+	defer func() { _ = p.Body.Close() }()
 	a := &Answer{Status: p.StatusCode, Header: p.Header, Close: p.Close}
 	var b bytes.Buffer
 	if p.ContentLength > 0 && p.ContentLength <= AnswerMost {
--- a/internal/change/rollout/evidence.go
+++ b/internal/change/rollout/evidence.go
@@ -32,6 +32,9 @@
 	priorCount = 50
 	// slowFactor is how many times the old version's usual time is slow.
 	slowFactor = 2.0
+	// slowLeast is what an answer takes at least to count as slow: below it the
+	// network and the instance's own load decide.
+	slowLeast = 20 * time.Millisecond
 	// usualCount is how many answers of the old version set its usual time.
 	usualCount = 20
 	// coldCount is how many first answers of a version, per route and
@@ -130,7 +133,7 @@
 		p.cold++
 		return false
 	}
-	return p.answers >= usualCount && took.Seconds() > cmp.Or(r.slowFactor, slowFactor)*p.usual
+	return took >= slowLeast && p.answers >= usualCount && took.Seconds() > cmp.Or(r.slowFactor, slowFactor)*p.usual
 }
 
 // take replaces what one instance has seen, and adds what is new to the sums.
--- a/internal/config/mirror/mirror.go
+++ b/internal/config/mirror/mirror.go
@@ -96,17 +96,10 @@
 	}
 	var fresh []lacewingramp.Change
 	for _, c := range changes {
-		known, ok := m.items[c.Key]
-		if ok && known.Revision >= c.Revision && !(c.Deleted && known.Revision == c.Revision) {
-			continue
-		}
-		if !ok && c.Revision <= m.revision {
+		if !m.isNew(c) {
 			continue
 		}
 		if c.Deleted {
-			if !ok {
-				continue
-			}
 			delete(m.items, c.Key)
 		} else {
 			m.items[c.Key] = c.Item
@@ -116,6 +109,21 @@
 	return fresh
 }
 
+// isNew reports whether a change says more than is known of its key. The end
+// of a key in a snapshot has the snapshot's revision, which its last write may
+// have too.
+func (m *Mirror) isNew(c lacewingramp.Change) bool {
+	known, ok := m.items[c.Key]
+	switch {
+	case !ok:
+		return !c.Deleted && c.Revision > m.revision
+	case c.Deleted:
+		return c.Revision >= known.Revision
+	default:
+		return c.Revision > known.Revision
+	}
+}
+
 // Since returns the changes after a revision. It reports false where the log
 // does not reach back that far.
 func (m *Mirror) Since(after int64) ([]lacewingramp.Change, int64, bool) {
--- a/internal/entry/edge/edge_beat.go
+++ b/internal/entry/edge/edge_beat.go
@@ -55,9 +55,10 @@
 }
 
 func (e *Edge) heartbeat(now time.Time) *lacewingramp.Heartbeat {
-	e.self.Leaving = e.ending.Load()
+	self := e.self
+	self.Leaving = e.ending.Load()
 	h := &lacewingramp.Heartbeat{
-		Endpoint: e.self, Ready: e.Ready(), Revision: e.mirror.Revision(), Direct: !e.store.lost,
+		Endpoint: self, Ready: e.Ready(), Revision: e.mirror.Revision(), Direct: !e.store.lost,
 		Marks: e.ward.Marks(now), Evidence: e.rollouts.Evidence(), Outcomes: e.rollouts.Outcomes(),
 	}
 	for name, d := range e.quota.Demand(now) {
--- /dev/null
+++ b/internal/entry/edge/standin_test.go
@@ -0,0 +1,316 @@
+package edge_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/config/mirror"
+	"lacewingramp.example/lacewingramp/internal/config/routing"
+	"lacewingramp.example/lacewingramp/internal/entry/edge"
+	"lacewingramp.example/lacewingramp/internal/report/meter"
+	"lacewingramp.example/lacewingramp/internal/timer/wall"
+)
+
+// store is a small stand-in for the platform's store.
+type store struct {
+	mu     sync.Mutex
+	mirror mirror.Mirror
+	next   int64
+	down   atomic.Bool
+}
+
+func (s *store) put(key string, v any) {
+	raw, err := json.Marshal(v)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	s.change(lacewingramp.Change{Item: lacewingramp.Item{Key: key, Value: raw}})
+}
+
+func (s *store) change(c lacewingramp.Change) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.next == 0 {
+		s.next = 1
+		s.mirror.Reset(nil, 1)
+	}
+	s.next++
+	c.Revision = s.next
+	s.mirror.Apply([]lacewingramp.Change{c}, s.next)
+	return s.next
+}
+
+func (s *store) item(key string) lacewingramp.Item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, _ := s.mirror.Item(key)
+	return i
+}
+
+func (s *store) Snapshot(context.Context) ([]lacewingramp.Item, int64, error) {
+	if s.down.Load() {
+		return nil, 0, lacewingramp.ErrDown
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	items, revision := s.mirror.Snapshot()
+	return items, revision, nil
+}
+
+func (s *store) Changes(ctx context.Context, after int64, _ time.Duration) ([]lacewingramp.Change, int64, error) {
+	for ctx.Err() == nil {
+		if s.down.Load() {
+			return nil, after, lacewingramp.ErrDown
+		}
+		s.mu.Lock()
+		all, revision, ok := s.mirror.Since(after)
+		s.mu.Unlock()
+		if !ok {
+			return nil, after, lacewingramp.ErrCompacted
+		}
+		if len(all) > 0 {
+			return all, revision, nil
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return nil, after, ctx.Err()
+}
+
+func (s *store) Put(_ context.Context, key string, value []byte, _ lacewingramp.LeaseID) (int64, error) {
+	if s.down.Load() {
+		return 0, lacewingramp.ErrDown
+	}
+	return s.change(lacewingramp.Change{Item: lacewingramp.Item{Key: key, Value: value}}), nil
+}
+
+func (s *store) Swap(ctx context.Context, key string, value []byte, base int64, lease lacewingramp.LeaseID) (int64, error) {
+	if s.item(key).Revision != base {
+		return 0, lacewingramp.ErrConflict
+	}
+	return s.Put(ctx, key, value, lease)
+}
+
+func (s *store) Grant(context.Context, int64) (lacewingramp.LeaseID, error) { return 1, nil }
+func (s *store) Renew(context.Context, lacewingramp.LeaseID) error          { return nil }
+func (s *store) End(context.Context, lacewingramp.LeaseID) error            { return nil }
+
+// format is the stand-in's way of writing keys and headers.
+type format struct{}
+
+func (format) Read(c lacewingramp.Change) (lacewingramp.Notice, error) {
+	n := lacewingramp.Notice{Key: c.Key, Revision: c.Revision, Removed: c.Deleted}
+	kind, name, _ := strings.Cut(c.Key, "/")
+	value := c.Value
+	if c.Deleted {
+		value = []byte("{}")
+	}
+	switch kind {
+	case "table":
+		n.Table = &lacewingramp.Table{}
+		return n, json.Unmarshal(value, n.Table)
+	case "target":
+		n.Listing = &lacewingramp.Listing{}
+		err := json.Unmarshal(value, n.Listing)
+		n.Listing.Name = name
+		return n, err
+	case "empty":
+		n.Evacuation = &lacewingramp.Evacuation{Domain: name}
+	case "order":
+		n.Order = &lacewingramp.Order{}
+		return n, json.Unmarshal(value, n.Order)
+	case "start":
+		n.Start = &lacewingramp.Start{}
+		return n, json.Unmarshal(value, n.Start)
+	case "result":
+		n.Result = &lacewingramp.Result{}
+		return n, json.Unmarshal(value, n.Result)
+	case "lacewingramp":
+		n.Instance = &lacewingramp.Endpoint{}
+		return n, json.Unmarshal(value, n.Instance)
+	}
+	return n, nil
+}
+
+func (format) Instance(e lacewingramp.Endpoint) (string, []byte, error) {
+	value, err := json.Marshal(e)
+	return lacewingramp.KeyInstances + e.Name, value, err
+}
+
+func (format) Start(s lacewingramp.Start) (string, []byte, error) {
+	value, err := json.Marshal(s)
+	return "start/" + s.Service, value, err
+}
+
+func (format) Result(r lacewingramp.Result) (string, []byte, error) {
+	value, err := json.Marshal(r)
+	return "result/" + r.Service, value, err
+}
+
+func (format) Call(h http.Header) (lacewingramp.Call, error) {
+	return lacewingramp.Call{ID: h.Get("Id"), Key: h.Get("Key"), Object: h.Get("Object")}, nil
+}
+
+func (format) Forward(h http.Header, s lacewingramp.Sending) {
+	h.Del("Key")
+	h.Set("For", s.Customer)
+	h.Set("Left", strconv.FormatInt(s.Left.Milliseconds(), 10))
+}
+
+func (format) Sign(_ int, h http.Header) lacewingramp.Sign {
+	return lacewingramp.Sign{ID: h.Get("Id"), NotRun: h.Get("Shed") != ""}
+}
+
+func (format) Retry(h http.Header, after time.Duration) {
+	h.Set("Again", after.String())
+}
+
+func (format) Echo(h http.Header, id string) {
+	h.Set("Id", id)
+}
+
+// target is a stand-in for a target. It answers with what it was sent.
+type target struct {
+	name string
+	mode atomic.Value
+	runs atomic.Int32
+	stop chan struct{}
+}
+
+// The ways of a target to answer.
+const (
+	modeWell    = "well"
+	modeShed    = "shed"
+	modeBreak   = "break"
+	modeFail    = "fail"
+	modeSilence = "silence"
+)
+
+func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Id", r.Header.Get("Id"))
+	mode, _ := t.mode.Load().(string)
+	if mode == modeShed {
+		w.Header().Set("Shed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	t.runs.Add(1)
+	switch mode {
+	case modeBreak:
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_ = c.Close()
+		}
+		return
+	case modeFail:
+		w.WriteHeader(http.StatusInternalServerError)
+	case modeSilence:
+		select {
+		case <-r.Context().Done():
+		case <-t.stop:
+		}
+	}
+	_, _ = fmt.Fprintf(w, "%s for %q key %q", t.name, r.Header.Get("For"), r.Header.Get("Key"))
+}
+
+// world is a deployment on loopback.
+type world struct {
+	store   *store
+	targets []*target
+	edges   []*edge.Edge
+	callers []string
+	stops   []context.CancelFunc
+	ended   []chan struct{}
+}
+
+// free returns a loopback address that nobody listens at.
+func free() string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// table is the stand-in's table at a revision.
+func table(revision int64) *lacewingramp.Table {
+	route := func(name string, idempotent, open bool) lacewingramp.Route {
+		return lacewingramp.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Service: "s", Idempotent: idempotent, Open: open,
+			Affinity: true, Attempts: 2, Deadline: lacewingramp.Duration(5 * time.Second),
+		}
+	}
+	return &lacewingramp.Table{
+		Revision:  revision,
+		Routes:    []lacewingramp.Route{route("read", true, false), route("order", false, false), route("open", true, true)},
+		Services:  []lacewingramp.Service{{Name: "s"}},
+		Customers: []lacewingramp.Customer{{Name: "andes"}, {Name: "small", Rate: 0.01, Burst: 3}},
+		Keys: []lacewingramp.Key{
+			{Name: "andes-1", Customer: "andes", Hash: routing.Hash("andes-key")},
+			{Name: "small-1", Customer: "small", Hash: routing.Hash("small-key")},
+		},
+	}
+}
+
+// newWorld starts targets and lists them.
+func newWorld(targets int) *world {
+	w := &world{store: &store{}}
+	for i := range targets {
+		t := &target{name: fmt.Sprint("t", i), stop: make(chan struct{})}
+		t.mode.Store(modeWell)
+		s := httptest.NewServer(t)
+		ginkgo.DeferCleanup(func() {
+			close(t.stop)
+			s.CloseClientConnections()
+			s.Close()
+		})
+		w.targets = append(w.targets, t)
+		w.store.put("target/"+t.name, w.listing(i, s.Listener.Addr().String()))
+	}
+	return w
+}
+
+func (w *world) listing(i int, address string) lacewingramp.Listing {
+	return lacewingramp.Listing{Born: 1, Target: lacewingramp.Target{
+		Service: "s", Domain: []string{"a", "b"}[i%2], Version: "v1", Address: address, Slots: 4,
+	}}
+}
+
+// start starts an instance with a store.
+func (w *world) start(s edge.Store) *edge.Edge {
+	name := fmt.Sprint("edge-", len(w.edges))
+	caller := free()
+	e := edge.New(edge.Settings{
+		Name: name, Domain: "a", Region: "north", Regions: map[string]string{"a": "north", "b": "south"},
+		Callers: caller, Peer: free(), Bootstrap: true, Stop: 2 * time.Second, LookupLife: 5 * time.Second,
+		RetryRatio: 0.2, RetryExtra: 60, RetryWindow: 10 * time.Second, ExposeShare: 0.1,
+	}, edge.Parts{
+		Store: s, Reader: format{}, Writer: format{}, Wire: format{}, Timer: wall.Timer{},
+		Log: zerolog.Nop(), Meter: meter.New(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = e.Run(ctx)
+	}()
+	ginkgo.DeferCleanup(func() {
+		cancel()
+		<-done
+	})
+	w.edges = append(w.edges, e)
+	w.callers = append(w.callers, caller)
+	w.stops = append(w.stops, cancel)
+	w.ended = append(w.ended, done)
+	return e
+}
--- a/internal/limit/share/share.go
+++ b/internal/limit/share/share.go
@@ -34,6 +34,9 @@
 	demandLeast = 0.3
 	// startTime is how much of its rate a new bucket holds.
 	startTime = 200 * time.Millisecond
+	// calmPart is the part of a limit below which the demand of all instances
+	// leaves tokens unused.
+	calmPart = 0.8
 	// burstLeast lets one request pass wherever there is a limit at all.
 	burstLeast = 1.0
 )
@@ -112,13 +115,26 @@
 	a.demand = a.wanted(now) + 1/demandTime.Seconds()
 	a.seen = now
 	a.fill(now)
-	if a.level < 1 {
+	if a.level-1 < b.floor(now, customer, a) {
 		return false
 	}
 	a.level--
 	return true
 }
 
+// floor is how far a bucket may be overdrawn: while all instances together
+// are asked for clearly less than the limit, tokens lie unused at others.
+func (b *Book) floor(now time.Time, customer string, a *account) float64 {
+	all := a.wanted(now)
+	for _, d := range b.peers {
+		all += d[customer]
+	}
+	if all > calmPart*a.limit.Rate {
+		return 0
+	}
+	return -a.most()
+}
+
 // Refund gives back what was taken for a request that has not run.
 func (b *Book) Refund(customer string) {
 	if a, ok := b.accounts[customer]; ok {
--- /dev/null
+++ b/internal/limit/share/share_test.go
@@ -0,0 +1,172 @@
+package share_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/limit/share"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+const (
+	step   = 10 * time.Millisecond
+	beat   = 250 * time.Millisecond
+	window = 5 * time.Second
+)
+
+// fleet is a number of books that exchange their demand.
+type fleet struct {
+	books []*share.Book
+	heard [][]bool
+	now   time.Time
+	taken []time.Time
+	asked int
+}
+
+func newFleet(n int, l lacewingramp.Limit) *fleet {
+	f := &fleet{now: start}
+	for range n {
+		b := &share.Book{}
+		b.Configure(start, map[string]lacewingramp.Limit{"andes": l})
+		b.Instances(n)
+		b.Tick(start)
+		f.books = append(f.books, b)
+		row := make([]bool, n)
+		for i := range row {
+			row[i] = true
+		}
+		f.heard = append(f.heard, row)
+	}
+	return f
+}
+
+// run advances by d with the given requests a second at each instance.
+func (f *fleet) run(r *rand.Rand, d time.Duration, rates []float64) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(step) {
+		for i, b := range f.books {
+			for n := rates[i] * step.Seconds(); n > 0; n-- {
+				if r.Float64() >= n {
+					continue
+				}
+				f.asked++
+				if b.Take(f.now, "andes") {
+					f.taken = append(f.taken, f.now)
+				}
+			}
+		}
+		if f.now.Sub(start)%beat == 0 {
+			f.exchange()
+		}
+	}
+}
+
+func (f *fleet) exchange() {
+	for i, b := range f.books {
+		d := b.Demand(f.now)
+		for j, o := range f.books {
+			if i != j && f.heard[j][i] {
+				o.Hear(fmt.Sprint(i), d)
+			}
+		}
+	}
+	for _, b := range f.books {
+		b.Tick(f.now)
+	}
+}
+
+// most is the largest number of requests in any window.
+func (f *fleet) most() int {
+	most, first := 0, 0
+	for i, t := range f.taken {
+		for t.Sub(f.taken[first]) >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+func allowed(l lacewingramp.Limit) float64 {
+	return l.Rate*window.Seconds()*1.1 + l.Burst*1.1 + 20
+}
+
+var _ = ginkgo.Describe("a limit over all instances", func() {
+	limit := lacewingramp.Limit{Rate: 100, Burst: 100}
+	random := func() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+	ginkgo.It("gives nearly all to demand below it, wherever that is", func() {
+		f := newFleet(8, limit)
+		r := random()
+		f.run(r, 4*time.Second, []float64{7, 7, 7, 7, 7, 7, 7, 7})
+		f.run(r, 10*time.Second, []float64{30, 2, 2, 2, 2, 2, 2, 20})
+		gomega.Expect(float64(len(f.taken))).To(gomega.BeNumerically(">=", 0.98*float64(f.asked)))
+	})
+
+	ginkgo.It("holds when one customer sends several times its rate", func() {
+		f := newFleet(8, limit)
+		f.run(random(), 20*time.Second, []float64{90, 90, 90, 90, 90, 90, 90, 90})
+		gomega.Expect(float64(f.most())).To(gomega.BeNumerically("<=", allowed(limit)))
+		gomega.Expect(float64(len(f.taken))).To(gomega.BeNumerically(">=", 0.9*limit.Rate*20))
+	})
+
+	ginkgo.It("holds while two halves do not hear each other and demand moves", func() {
+		f := newFleet(8, limit)
+		r := random()
+		f.run(r, 5*time.Second, []float64{60, 60, 60, 60, 60, 60, 60, 60})
+		for i := range f.books {
+			for j := range f.books {
+				f.heard[i][j] = (i < 4) == (j < 4)
+			}
+		}
+		f.run(r, 10*time.Second, []float64{60, 60, 60, 60, 30, 30, 30, 30})
+		gomega.Expect(float64(f.most())).To(gomega.BeNumerically("<=", allowed(limit)))
+	})
+
+	ginkgo.It("holds when all instances start anew at the same moment", func() {
+		old := newFleet(8, limit)
+		r := random()
+		old.run(r, 5*time.Second, []float64{60, 60, 60, 60, 60, 60, 60, 60})
+		fresh := newFleet(8, limit)
+		fresh.now, fresh.taken = old.now, old.taken
+		fresh.run(r, 5*time.Second, []float64{60, 60, 60, 60, 60, 60, 60, 60})
+		gomega.Expect(float64(fresh.most())).To(gomega.BeNumerically("<=", allowed(limit)))
+	})
+
+	ginkgo.It("takes no more than its part for an instance that has heard of no other", func() {
+		var b share.Book
+		b.Instances(10)
+		b.Configure(start, map[string]lacewingramp.Limit{"andes": limit})
+		taken := 0
+		for i := range 1000 {
+			if b.Take(start.Add(time.Duration(i)*time.Millisecond), "andes") {
+				taken++
+			}
+		}
+		gomega.Expect(taken).To(gomega.BeNumerically("<=", 15))
+	})
+
+	ginkgo.It("gives back what has not run, and never more than the burst", func() {
+		var b share.Book
+		b.Configure(start, map[string]lacewingramp.Limit{"andes": {Rate: 1, Burst: 5}})
+		for range 20 {
+			b.Refund("andes")
+		}
+		taken := 0
+		for b.Take(start, "andes") {
+			taken++
+		}
+		gomega.Expect(taken).To(gomega.Equal(5))
+		gomega.Expect(b.Wait("andes")).To(gomega.BeNumerically("~", time.Second, 10*time.Millisecond))
+	})
+
+	ginkgo.It("lets a customer without a limit pass", func() {
+		var b share.Book
+		gomega.Expect(b.Take(start, "free")).To(gomega.BeTrue())
+	})
+})
--- /dev/null
+++ b/internal/peer/follower/follower_test.go
@@ -0,0 +1,55 @@
+package follower_test
+
+import (
+	"context"
+	"net"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/config/mirror"
+	"lacewingramp.example/lacewingramp/internal/peer/follower"
+)
+
+var _ = ginkgo.Describe("a follower of another instance", func() {
+	serve := func(m *mirror.Mirror) follower.Feed {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		ginkgo.DeferCleanup(l.Close)
+		go func() { _ = follower.Serve(l, m) }()
+		return follower.Feed{Address: l.Addr().String()}
+	}
+
+	ginkgo.It("ends with what the other knows", func(ctx context.Context) {
+		var source, own mirror.Mirror
+		source.Reset([]lacewingramp.Item{{Key: "a", Value: []byte("1"), Revision: 1}}, 1)
+		f := serve(&source)
+		items, revision, err := f.Snapshot(ctx)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		own.Reset(items, revision)
+		source.Apply([]lacewingramp.Change{
+			{Item: lacewingramp.Item{Key: "b", Value: []byte("2"), Revision: 2}},
+			{Item: lacewingramp.Item{Key: "a", Revision: 3}, Deleted: true},
+		}, 3)
+		changes, revision, err := f.Changes(ctx, own.Revision(), 0)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		own.Apply(changes, revision)
+		want, _ := source.Snapshot()
+		got, at := own.Snapshot()
+		gomega.Expect(got).To(gomega.Equal(want))
+		gomega.Expect(at).To(gomega.Equal(int64(3)))
+	})
+
+	ginkgo.It("is told that changes are gone, and that nobody answers", func(ctx context.Context) {
+		var source mirror.Mirror
+		source.Reset(nil, 9)
+		_, _, err := serve(&source).Changes(ctx, 3, 0)
+		gomega.Expect(err).To(gomega.MatchError(lacewingramp.ErrCompacted))
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		_ = l.Close()
+		_, _, err = follower.Feed{Address: l.Addr().String()}.Changes(ctx, 3, 0)
+		gomega.Expect(err).To(gomega.HaveOccurred())
+	})
+})
--- a/internal/peer/heartbeat/heartbeat.go
+++ b/internal/peer/heartbeat/heartbeat.go
@@ -39,6 +39,11 @@
 	return &Socket{conn: c}, nil
 }
 
+// Address returns the address that the socket is open at.
+func (s *Socket) Address() string {
+	return s.conn.LocalAddr().String()
+}
+
 // Send sends a heartbeat to addresses. Those that can not be reached miss it.
 func (s *Socket) Send(h *lacewingramp.Heartbeat, addresses []string) error {
 	b, err := cbor.Marshal(h)
--- /dev/null
+++ b/internal/peer/heartbeat/heartbeat_test.go
@@ -0,0 +1,97 @@
+package heartbeat_test
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/peer/heartbeat"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func endpoint(name string, born int64) lacewingramp.Endpoint {
+	return lacewingramp.Endpoint{Name: name, Domain: "d", Peer: "127.0.0.1:1", Caller: "127.0.0.1:2", Born: born}
+}
+
+func beat(name string, born, revision int64) *lacewingramp.Heartbeat {
+	return &lacewingramp.Heartbeat{Endpoint: endpoint(name, born), Ready: true, Direct: true, Revision: revision}
+}
+
+func names(all []lacewingramp.Endpoint) []string {
+	var n []string
+	for _, e := range all {
+		n = append(n, e.Name)
+	}
+	return n
+}
+
+var _ = ginkgo.Describe("the roll of instances", func() {
+	ginkgo.It("counts an instance as alive by its heartbeats alone", func() {
+		r := heartbeat.Roll{Self: "one"}
+		r.List(start, endpoint("two", 1))
+		gomega.Expect(r.Alive(start)).To(gomega.BeEmpty())
+		gomega.Expect(r.Count(start)).To(gomega.Equal(2))
+		gomega.Expect(r.Hear(start, beat("two", 1, 5))).To(gomega.BeTrue())
+		gomega.Expect(r.Hear(start, beat("two", 1, 5))).To(gomega.BeFalse())
+		gomega.Expect(names(r.Serving(start))).To(gomega.Equal([]string{"two"}))
+		r.Unlist("two")
+		gomega.Expect(r.Sweep(start)).To(gomega.BeEmpty())
+		later := start.Add(2 * time.Second)
+		gomega.Expect(r.Alive(later)).To(gomega.BeEmpty())
+		gomega.Expect(r.Sweep(later)).To(gomega.Equal([]string{"two"}))
+		// It may be cut off, or start again at its address.
+		gomega.Expect(r.Addresses()).To(gomega.HaveLen(1))
+		r.Sweep(start.Add(time.Hour))
+		gomega.Expect(r.Addresses()).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("passes over an earlier life of an instance and its own heartbeat", func() {
+		r := heartbeat.Roll{Self: "one"}
+		r.Hear(start, beat("two", 7, 5))
+		late := beat("two", 3, 5)
+		late.Ready = false
+		r.Hear(start, late)
+		r.Hear(start, beat("one", 1, 5))
+		gomega.Expect(names(r.Serving(start))).To(gomega.Equal([]string{"two"}))
+	})
+
+	ginkgo.It("names no instance that is leaving for callers", func() {
+		r := heartbeat.Roll{Self: "one"}
+		h := beat("two", 1, 5)
+		h.Endpoint.Leaving = true
+		r.Hear(start, h)
+		gomega.Expect(r.Serving(start)).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("finds one that has known more of the store for a while", func() {
+		r := heartbeat.Roll{Self: "one"}
+		r.Hear(start, beat("two", 1, 9))
+		gomega.Expect(r.Ahead(start, 8, 100*time.Millisecond)).To(gomega.BeEmpty())
+		gomega.Expect(r.Ahead(start.Add(200*time.Millisecond), 8, 100*time.Millisecond)).NotTo(gomega.BeEmpty())
+		gomega.Expect(r.Ahead(start.Add(200*time.Millisecond), 9, 100*time.Millisecond)).To(gomega.BeEmpty())
+	})
+})
+
+var _ = ginkgo.Describe("a heartbeat", func() {
+	ginkgo.It("reaches another instance, and bytes that are none are passed over", func() {
+		one, err := heartbeat.Listen("127.0.0.1:0")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		two, err := heartbeat.Listen("127.0.0.1:0")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		got := make(chan *lacewingramp.Heartbeat, 4)
+		bad := make(chan error, 4)
+		go two.Receive(func(h *lacewingramp.Heartbeat) { got <- h }, func(err error) { bad <- err })
+		h := beat("one", 1, 5)
+		h.Demand = map[string]float32{"andes": 2.5}
+		to := []string{two.Address(), "no address"}
+		gomega.Expect(one.Send(h, to)).To(gomega.Succeed())
+		gomega.Eventually(got).Should(gomega.Receive(gomega.Equal(h)))
+		gomega.Expect(one.Send(&lacewingramp.Heartbeat{}, to)).To(gomega.Succeed())
+		gomega.Eventually(bad).Should(gomega.Receive())
+		_ = one.Close()
+		_ = two.Close()
+	})
+})
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -406,7 +406,7 @@
 			continue
 		}
 		t.inflight++
-		chosen := t.Listing.Target
+		chosen := t.Target
 		return Choice{Target: &chosen, Rank: i, Cold: cold}, true
 	}
 	return Choice{}, false
--- /dev/null
+++ b/internal/steer/placement/placement_test.go
@@ -0,0 +1,245 @@
+package placement_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/steer/placement"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+var regions = map[string]string{"a": "north", "b": "south"}
+
+const (
+	warmup   = 3 * time.Second
+	coldRate = 7.3
+)
+
+func service() lacewingramp.Service {
+	return lacewingramp.Service{Name: "recipes", Warmup: lacewingramp.Duration(warmup), Coldrate: coldRate}
+}
+
+func listing(i int, domain string, slots int) lacewingramp.Listing {
+	return lacewingramp.Listing{
+		Target: lacewingramp.Target{
+			Name: fmt.Sprintf("t%d", i), Service: "recipes", Domain: domain, Version: "v1",
+			Address: fmt.Sprintf("10.0.0.%d:80", i), Slots: slots,
+		},
+		Born: 1,
+	}
+}
+
+// placer returns a Placer with targets in both regions.
+func placer(self string, targets, slots int) *placement.Placer {
+	p := &placement.Placer{Self: self, Regions: regions, Home: "north"}
+	p.Configure([]lacewingramp.Service{service()})
+	p.Members([]string{self}, 1)
+	for i := range targets {
+		p.Update(start, listing(i, []string{"a", "b"}[i%2], slots))
+	}
+	return p
+}
+
+func ask(object string) placement.Query {
+	return placement.Query{Service: "recipes", Object: object}
+}
+
+var _ = ginkgo.Describe("a choice of target", func() {
+	ginkgo.It("is the same at every instance of a region without a message", func() {
+		one, other := placer("one", 12, 3), placer("other", 12, 3)
+		for i := range 200 {
+			object := fmt.Sprint(i)
+			a, b := one.Choose(start, ask(object)), other.Choose(start, ask(object))
+			gomega.Expect(a.Target.Name).To(gomega.Equal(b.Target.Name))
+			one.Cancel(a.Target.Name)
+			other.Cancel(b.Target.Name)
+		}
+	})
+
+	ginkgo.It("moves only the objects of a target that leaves", func() {
+		before, after := placer("one", 12, 3), placer("one", 12, 3)
+		after.Remove("t3")
+		moved := 0
+		for i := range 500 {
+			a, b := before.Choose(start, ask(fmt.Sprint(i))), after.Choose(start, ask(fmt.Sprint(i)))
+			if a.Target.Name != "t3" {
+				gomega.Expect(b.Target.Name).To(gomega.Equal(a.Target.Name))
+			} else {
+				moved++
+			}
+			before.Cancel(a.Target.Name)
+			after.Cancel(b.Target.Name)
+		}
+		gomega.Expect(moved).To(gomega.BeNumerically(">", 0))
+	})
+
+	ginkgo.It("prefers targets of the instance's own region", func() {
+		p := placer("one", 12, 3)
+		home := 0
+		for i := range 1000 {
+			c := p.Choose(start, ask(fmt.Sprint(i)))
+			if c.Target.Domain == "a" {
+				home++
+			}
+			p.Cancel(c.Target.Name)
+		}
+		gomega.Expect(home).To(gomega.BeNumerically("~", 750, 60))
+	})
+
+	ginkgo.It("keeps an object at two targets under a burst and refuses the rest at once", func() {
+		p := placer("one", 12, 8)
+		seen := make(map[string]bool)
+		full := 0
+		for range 100 {
+			c := p.Choose(start, ask("17"))
+			if c.Target == nil {
+				gomega.Expect(c.Full).To(gomega.BeTrue())
+				full++
+				continue
+			}
+			seen[c.Target.Name] = true
+		}
+		gomega.Expect(seen).To(gomega.HaveLen(2))
+		gomega.Expect(full).To(gomega.BeNumerically(">", 50))
+	})
+
+	ginkgo.It("leaves a target that says it is full, and comes back as its word gets old", func() {
+		p := placer("one", 2, 3)
+		c := p.Choose(start, ask("17"))
+		first := c.Target.Name
+		p.Done(start, placement.Report{Target: first, Load: &lacewingramp.Load{Running: 3, Waiting: 6, Slots: 3}})
+		gomega.Expect(p.Choose(start, ask("17")).Target.Name).NotTo(gomega.Equal(first))
+		gomega.Expect(p.Choose(start.Add(2*time.Second), ask("17")).Target.Name).To(gomega.Equal(first))
+	})
+
+	ginkgo.It("obeys versions, regions, evacuations and leaving", func() {
+		p := placer("one", 12, 3)
+		q := ask("17")
+		q.Version = "v2"
+		gomega.Expect(p.Choose(start, q)).To(gomega.Equal(placement.Choice{}))
+		q = ask("17")
+		q.Routes, q.Homes = lacewingramp.Names{"south", "north"}, lacewingramp.Names{"south"}
+		gomega.Expect(p.Choose(start, q).Target.Domain).To(gomega.Equal("b"))
+		p.Evacuate(start, "b", true)
+		gomega.Expect(p.Choose(start, q).Target).To(gomega.BeNil())
+		for i := range 12 {
+			l := listing(i, []string{"a", "b"}[i%2], 3)
+			l.Leaving = true
+			p.Update(start, l)
+		}
+		gomega.Expect(p.Choose(start, ask("17"))).To(gomega.Equal(placement.Choice{}))
+	})
+
+	ginkgo.It("leaves a target that could not be reached alone, and longer each time", func() {
+		p := placer("one", 1, 3)
+		now := start
+		for _, wait := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second} {
+			c := p.Choose(now, ask("17"))
+			gomega.Expect(c.Target).NotTo(gomega.BeNil())
+			p.Done(now, placement.Report{Target: c.Target.Name, Unreachable: true})
+			gomega.Expect(p.Choose(now.Add(wait-time.Millisecond), ask("17")).Target).To(gomega.BeNil())
+			now = now.Add(wait + time.Millisecond)
+		}
+	})
+
+	ginkgo.It("forgets what it knew of a target that starts again under its name", func() {
+		p := placer("one", 1, 3)
+		for range 3 {
+			gomega.Expect(p.Choose(start, ask("17")).Target).NotTo(gomega.BeNil())
+		}
+		gomega.Expect(p.Choose(start, ask("17")).Target).To(gomega.BeNil())
+		l := listing(0, "a", 3)
+		l.Born = 2
+		gomega.Expect(p.Update(start, l)).To(gomega.Equal("10.0.0.0:80"))
+		gomega.Expect(p.Choose(start, ask("17")).Target).NotTo(gomega.BeNil())
+	})
+})
+
+// rush sends as much as the instances let through for a second, and returns
+// the most that one target got.
+func rush(now time.Time, all []*placement.Placer) int {
+	most := make(map[string]int)
+	for i := range 1000 {
+		at := now.Add(time.Duration(i) * time.Millisecond)
+		for _, p := range all {
+			if c := p.Choose(at, ask(fmt.Sprint(i%40))); c.Target != nil {
+				most[c.Target.Name]++
+				p.Cancel(c.Target.Name)
+			}
+		}
+	}
+	n := 0
+	for _, v := range most {
+		n = max(n, v)
+	}
+	return n
+}
+
+var _ = ginkgo.Describe("the rate of cold targets over all instances", func() {
+	const (
+		instances = 8
+		allowed   = coldRate*1.5 + 5
+	)
+	fleet := func() []*placement.Placer {
+		var names []string
+		for i := range instances {
+			names = append(names, fmt.Sprintf("edge-%d", i))
+		}
+		var all []*placement.Placer
+		for _, n := range names {
+			p := placer(n, 4, 30)
+			p.Members(names, instances)
+			all = append(all, p)
+		}
+		return all
+	}
+
+	ginkgo.It("holds when targets say that they are cold", func() {
+		all := fleet()
+		for _, p := range all {
+			for i := range 4 {
+				l := listing(i, "a", 30)
+				l.Cold = warmup
+				p.Update(start, l)
+			}
+		}
+		n := rush(start, all)
+		gomega.Expect(n).To(gomega.And(gomega.BeNumerically("<=", allowed), gomega.BeNumerically(">", 0)))
+	})
+
+	ginkgo.It("holds when an evacuation ends", func() {
+		all := fleet()
+		for _, p := range all {
+			for _, d := range []string{"a", "b"} {
+				p.Evacuate(start, d, true)
+				p.Evacuate(start.Add(time.Second), d, false)
+			}
+		}
+		gomega.Expect(rush(start.Add(time.Second), all)).To(gomega.BeNumerically("<=", allowed))
+	})
+
+	ginkgo.It("holds when all instances start anew and know neither each other nor the targets", func() {
+		all := fleet()
+		for _, p := range all {
+			p.Begun = start
+			p.Members([]string{p.Self}, instances)
+		}
+		n := rush(start, all)
+		gomega.Expect(n).To(gomega.And(gomega.BeNumerically("<=", allowed), gomega.BeNumerically(">", 0)))
+	})
+
+	ginkgo.It("ends for a target that said when it was asked that it is warm", func() {
+		p := placer("edge-0", 1, 30)
+		p.Begun = start
+		p.Members([]string{"edge-0"}, instances)
+		gomega.Expect(p.Uncertain(start)).To(gomega.HaveLen(1))
+		p.Probed(start, placement.Report{Target: "t0"})
+		gomega.Expect(p.Uncertain(start)).To(gomega.BeEmpty())
+		gomega.Expect(rush(start, []*placement.Placer{p})).To(gomega.Equal(1000))
+	})
+})
