--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -35,6 +35,7 @@
 	"lacewingramp.example/lacewingramp/internal/limit/share"
 	"lacewingramp.example/lacewingramp/internal/peer/follower"
 	"lacewingramp.example/lacewingramp/internal/peer/heartbeat"
+	"lacewingramp.example/lacewingramp/internal/report/lines"
 	"lacewingramp.example/lacewingramp/internal/steer/placement"
 )
 
@@ -105,6 +106,7 @@
 	ready  atomic.Bool
 	ending atomic.Bool
 
+	lines  lines.Limiter
 	client exchange.Client
 	server caller.Server
 
--- a/internal/entry/edge/edge_answer.go
+++ b/internal/entry/edge/edge_answer.go
@@ -50,8 +50,12 @@
 }
 
 func (e *Edge) logEnd(j *job, status int, cause lacewingramp.Cause, verdict lacewingramp.Verdict, detail string, after time.Duration) {
-	took := e.Timer.Now().Sub(j.begun)
+	now := e.Timer.Now()
+	took := now.Sub(j.begun)
 	e.Meter.Request(status, cause, took)
+	if !e.lines.Allow(now, cause.String()) {
+		return
+	}
 	l := e.Log.Info().Str("id", j.call.ID).Int("status", status).Str("cause", cause.String()).
 		Str("verdict", verdict.String()).Str("detail", detail).Int64("table", j.table).Dur("took", took)
 	if j.route != nil {
@@ -63,3 +67,35 @@
 	}
 	l.Msg("request ended without a target's answer")
 }
+
+// sampleOne is one in how many answers of targets is logged where all went
+// well.
+const sampleOne = 64
+
+// logAnswer logs a target's answer, if it came late or after a repeat, or is in
+// the sample.
+func (e *Edge) logAnswer(j *job, a *message.Answer, took time.Duration) {
+	late := j.route.Objective > 0 && took > time.Duration(j.route.Objective)
+	kind := "answered"
+	switch {
+	case j.sent > 1 || j.unreachable > 0:
+		kind = "repeated"
+	case late:
+		kind = "late"
+	case j.print%sampleOne != 0:
+		return
+	}
+	if !e.lines.Allow(j.begun, kind) {
+		return
+	}
+	e.Log.Info().Str("id", j.call.ID).Int("status", a.Status).Str("kind", kind).Int64("table", j.table).
+		Dur("took", took).Str("route", j.route.Name).Str("service", j.service).Str("customer", j.customerName()).
+		Strs("tried", j.tried).Int("rank", j.rank).Int("sent", j.sent).Msg("request answered by a target")
+}
+
+// logOmitted tells how many lines have been left out.
+func (e *Edge) logOmitted() {
+	for kind, n := range e.lines.Omitted() {
+		e.Log.Info().Str("kind", kind).Int("omitted", n).Msg("left out log lines")
+	}
+}
--- a/internal/entry/edge/edge_beat.go
+++ b/internal/entry/edge/edge_beat.go
@@ -35,6 +35,7 @@
 	addresses := e.roll.Addresses()
 	e.mu.Unlock()
 	e.client.Sweep(now)
+	e.logOmitted()
 	if err := s.Send(h, addresses); err != nil {
 		e.Log.Error().Err(err).Msg("could not send a heartbeat")
 	}
--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -38,6 +38,7 @@
 	deadline time.Time
 
 	tried       []string
+	rank        int
 	sent        int
 	unreachable int
 	// mayHaveRun is set once a target may have started the request.
@@ -69,9 +70,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
-	a := e.run(ctx, j)
-	e.Meter.Request(a.Status, lacewingramp.CauseNone, e.Timer.Now().Sub(begun))
-	return a
+	return e.run(ctx, j)
 }
 
 // admit finds out whether a request may run, and returns the answer if not.
@@ -185,10 +184,13 @@
 	}
 	if j.sent > 0 && !e.budget.Take(now, j.service, e.roll.Count(now)) {
 		e.place.Cancel(choice.Target.Name)
-		e.Log.Info().Str("id", j.call.ID).Str("service", j.service).Int("sent", j.sent).Msg("not repeated: the retry budget is used up")
+		if e.lines.Allow(now, "budget") {
+			e.Log.Info().Str("id", j.call.ID).Str("service", j.service).Int("sent", j.sent).Msg("not repeated: the retry budget is used up")
+		}
 		return placement.Choice{}, "", false
 	}
 	j.tried = append(j.tried, choice.Target.Name)
+	j.rank = choice.Rank
 	return choice, choice.Target.Version, true
 }
 
@@ -238,7 +240,7 @@
 		}
 		e.rollouts.Observe(j.route.Name, j.service, version, failed, took)
 	}
-	if failed || r.Unreachable || r.Sign.Elsewhere || left {
+	if (failed || r.Unreachable || r.Sign.Elsewhere || left) && e.lines.Allow(now, "attempt") {
 		e.Log.Info().Str("id", j.call.ID).Str("target", c.Target.Name).Str("verdict", r.Verdict.String()).
 			AnErr("error", r.Err).Int("status", status(r.Answer)).Dur("took", took).Bool("crashed", crashed).
 			Bool("cancelled", left).Msg("a target did not answer well")
@@ -276,13 +278,21 @@
 		j.fallback = r.Answer
 		return nil
 	}
-	return r.Answer
+	return e.relay(j, r.Answer)
+}
+
+// relay counts a target's answer on its way to the caller.
+func (e *Edge) relay(j *job, a *message.Answer) *message.Answer {
+	took := e.Timer.Now().Sub(j.begun)
+	e.Meter.Request(a.Status, lacewingramp.CauseNone, took)
+	e.logAnswer(j, a, took)
+	return a
 }
 
 // finish answers a request that no target has answered well.
 func (e *Edge) finish(j *job) *message.Answer {
 	if j.fallback != nil {
-		return j.fallback
+		return e.relay(j, j.fallback)
 	}
 	if j.mayHaveRun {
 		if !e.Timer.Now().Before(j.deadline) {
--- /dev/null
+++ b/internal/report/lines/lines_test.go
@@ -0,0 +1,28 @@
+package lines_test
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"lacewingramp.example/lacewingramp/internal/report/lines"
+)
+
+var _ = ginkgo.Describe("log lines", func() {
+	ginkgo.It("are bounded by kind and second, and counted where they are left out", func() {
+		var l lines.Limiter
+		now := time.Unix(1_800_000_000, 0)
+		written := 0
+		for range 1000 {
+			if l.Allow(now, "slots") {
+				written++
+			}
+		}
+		gomega.Expect(written).To(gomega.Equal(lines.MostASecond))
+		gomega.Expect(l.Allow(now, "rate")).To(gomega.BeTrue())
+		gomega.Expect(l.Omitted()).To(gomega.Equal(map[string]int{"slots": 1000 - lines.MostASecond}))
+		gomega.Expect(l.Omitted()).To(gomega.BeEmpty())
+		gomega.Expect(l.Allow(now.Add(time.Second), "slots")).To(gomega.BeTrue())
+	})
+})
