Watch the store with one instance of each region

Change: the first in an order of the instances of a region that the store answers watches it, the others wait at that one for changes. One that does not answer, or is behind others by heartbeat, is left for the next, at last for the store. Listings that end are kept for a moment when any instance is cut from the store, as the others can not tell.

--- a/internal/config/mirror/mirror.go
+++ b/internal/config/mirror/mirror.go
@@ -30,6 +30,8 @@
 	revision int64
 	// floor is the revision after which the log has every change.
 	floor int64
+	// changed is closed when the mirror moves on.
+	changed chan struct{}
 }
 
 // Revision is up to where the store is known.
@@ -75,6 +77,7 @@
 	m.revision = max(m.revision, revision)
 	// What was written and deleted between is not known.
 	m.log, m.floor = nil, m.revision
+	m.wake()
 	return fresh
 }
 
@@ -83,6 +86,9 @@
 	fresh := m.apply(changes)
 	m.log = append(m.log, fresh...)
 	m.revision = max(m.revision, revision)
+	if len(fresh) > 0 {
+		m.wake()
+	}
 	if over := len(m.log) - logMost; over > 0 {
 		m.floor = m.log[over-1].Revision
 		m.log = append([]lacewingramp.Change(nil), m.log[over:]...)
@@ -124,6 +130,22 @@
 	}
 }
 
+// Changed returns a channel that is closed when the mirror next changes.
+func (m *Mirror) Changed() <-chan struct{} {
+	if m.changed == nil {
+		m.changed = make(chan struct{})
+	}
+	return m.changed
+}
+
+// wake tells those who wait for a change.
+func (m *Mirror) wake() {
+	if m.changed != nil {
+		close(m.changed)
+		m.changed = nil
+	}
+}
+
 // Since returns the changes after a revision. It reports false where the log
 // does not reach back that far.
 func (m *Mirror) Since(after int64) ([]lacewingramp.Change, int64, bool) {
--- a/internal/entry/edge/edge_beat.go
+++ b/internal/entry/edge/edge_beat.go
@@ -28,7 +28,7 @@
 	}
 	e.setMembers(now)
 	e.quota.Tick(now)
-	e.setWatch(now)
+	e.setFollowed(now)
 	e.sweepLapsed(now)
 	e.tickRollouts(ctx, now)
 	h := e.heartbeat(now)
@@ -98,6 +98,7 @@
 	for ctx.Err() == nil {
 		var err error
 		lease, err = e.keepListed(ctx, lease)
+		e.noteStore(err)
 		if err != nil {
 			sleep(ctx, pause)
 			pause = min(renewPeriod, 2*pause)
@@ -111,6 +112,21 @@
 	}
 }
 
+// noteStore takes in whether the store has answered, where this instance does
+// not watch it.
+func (e *Edge) noteStore(err error) {
+	e.mu.Lock()
+	watches := e.store.follows == ""
+	e.mu.Unlock()
+	switch {
+	case watches || errors.Is(err, context.Canceled):
+	case err != nil:
+		e.storeLost(err)
+	default:
+		e.storeBack()
+	}
+}
+
 // keepListed renews the lease of the listing, or lists the instance anew.
 func (e *Edge) keepListed(ctx context.Context, lease lacewingramp.LeaseID) (lacewingramp.LeaseID, error) {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
--- a/internal/entry/edge/edge_follow.go
+++ b/internal/entry/edge/edge_follow.go
@@ -13,14 +13,15 @@
 )
 
 const (
-	// changesWait is how long the store is asked to wait for a change, and
-	// watchWait how long by the instances that keep watch: a connection that
-	// has gone silent, or a watch that the store has dropped, is found by its
-	// end. The others hear of a change that they miss by heartbeat.
-	changesWait = 10 * time.Second
-	watchWait   = 800 * time.Millisecond
-	// watchers is how many instances keep watch.
-	watchers = 2
+	// watchWait is how long the store is asked to wait for a change: a
+	// connection that has gone silent, or a watch that the store has dropped, is
+	// found by its end.
+	watchWait = 800 * time.Millisecond
+	// followWait is how long another instance is asked to wait. One that misses
+	// a change hears of it by heartbeat.
+	followWait = 5 * time.Second
+	// avoidTime is how long an instance that did not answer is not followed.
+	avoidTime = 2 * time.Second
 	// snapshotTimeout bounds one reading of all keys.
 	snapshotTimeout = 3 * time.Second
 	// retryFirst and retryMost bound the pause after a failed call.
@@ -32,19 +33,22 @@
 	// lapseTime is how long after the store's return listings that ended while
 	// it was away have to come back. Those that end later have left.
 	lapseTime = 2200 * time.Millisecond
-	// relayedLapse is the same for listings whose end another instance tells
-	// while the store does not answer this one.
-	relayedLapse = 1700 * time.Millisecond
+	// lapseMost is how long a listing is kept that ends while the store answers
+	// some instances and not others.
+	lapseMost = 1700 * time.Millisecond
 )
 
-// storeState is what an instance knows of its way to the store.
+// storeState is what an instance knows of its way to the store. Dark is when an
+// instance last said that the store does not answer it.
 type storeState struct {
 	lost     bool
 	lostAt   time.Time
-	regained time.Time
+	dark     time.Time
 	reopen   func()
 	asking   bool
-	watching bool
+	follows  string
+	avoid    map[string]time.Time
+	followed *follower.Feed
 }
 
 // source is the mirror as other instances follow it.
@@ -62,28 +66,37 @@
 	return s.e.mirror.Since(after)
 }
 
-// follow keeps the mirror up to the store until ctx ends.
+func (s source) Changed() <-chan struct{} {
+	s.e.mu.Lock()
+	defer s.e.mu.Unlock()
+	return s.e.mirror.Changed()
+}
+
+// follow keeps the mirror up to the store until ctx ends. One instance of each
+// region watches the store, the others follow that one.
 func (e *Edge) follow(ctx context.Context) {
 	pause := retryFirst
 	whole := true
 	for ctx.Err() == nil {
 		call, cancel := context.WithCancel(ctx)
-		e.mu.Lock()
-		e.store.reopen = cancel
-		e.mu.Unlock()
-		err := e.pull(call, e.Store, whole)
+		feed, address := e.feed(cancel)
+		err := e.pull(call, feed, whole)
 		reopened := call.Err() != nil
 		cancel()
 		switch {
 		case err == nil:
 			whole = false
 			pause = retryFirst
-			e.storeBack()
+			if address == "" {
+				e.storeBack()
+			}
 		case errors.Is(err, lacewingramp.ErrCompacted):
-			e.Log.Warn().Msg("the store has dropped its history, reading all keys")
+			e.Log.Warn().Str("from", address).Msg("changes are gone from the history, reading all keys")
 			whole = true
 		case reopened:
-			// Another instance knew more, the connection may be silent.
+			// Another instance is to be followed, or knew more.
+		case address != "":
+			e.avoid(address, err)
 		default:
 			e.storeLost(err)
 			sleep(ctx, pause/2+rand.N(pause/2))
@@ -92,15 +105,50 @@
 	}
 }
 
+// feed returns what to follow, and its address if that is another instance.
+// reopen ends the call that waits on it.
+func (e *Edge) feed(reopen func()) (lacewingramp.Feed, string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.store.reopen = reopen
+	address := e.store.follows
+	if address == "" {
+		return e.Store, ""
+	}
+	if e.store.followed == nil || e.store.followed.Address != address {
+		if e.store.followed != nil {
+			e.store.followed.Close()
+		}
+		e.store.followed = &follower.Feed{Address: address}
+	}
+	return e.store.followed, address
+}
+
+// avoid leaves an instance that could not be followed alone for a while.
+func (e *Edge) avoid(address string, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.avoidUntil(address, e.Timer.Now().Add(avoidTime))
+	e.Log.Warn().Err(err).Str("from", address).Msg("could not follow another instance")
+}
+
+func (e *Edge) avoidUntil(address string, until time.Time) {
+	if e.store.avoid == nil {
+		e.store.avoid = make(map[string]time.Time)
+	}
+	e.store.avoid[address] = until
+	e.store.follows = ""
+}
+
 // pull takes what is new from a feed into the mirror.
 func (e *Edge) pull(ctx context.Context, f lacewingramp.Feed, whole bool) error {
 	e.mu.Lock()
 	after := e.mirror.Revision()
-	wait := changesWait
-	if e.store.watching {
-		wait = watchWait
-	}
 	e.mu.Unlock()
+	wait := watchWait
+	if _, ok := f.(*follower.Feed); ok {
+		wait = followWait
+	}
 	if !whole && after > 0 {
 		changes, revision, err := f.Changes(ctx, after, wait)
 		if err != nil {
@@ -140,25 +188,34 @@
 		return
 	}
 	now := e.Timer.Now()
-	e.store.lost, e.store.regained = false, now
+	e.store.lost, e.store.dark = false, now
 	e.Log.Info().Dur("away", now.Sub(e.store.lostAt)).Int64("revision", e.mirror.Revision()).Msg("regained the store")
 }
 
-// setWatch finds out whether this instance keeps watch: the first few in an
-// order of those that reach the store.
-func (e *Edge) setWatch(now time.Time) {
-	own := xxhash.Sum64String(e.Name)
-	before := 0
-	for _, name := range e.roll.Direct(now) {
-		if xxhash.Sum64String(name) > own {
-			before++
+// setFollowed finds out whom this instance follows: the first in an order of
+// those of its region that the store answers, or the store itself where that
+// is this one.
+func (e *Edge) setFollowed(now time.Time) {
+	if e.store.lost || e.roll.Cut(now) {
+		e.store.dark = now
+	}
+	first, most := "", uint64(0)
+	if !e.store.lost {
+		most = xxhash.Sum64String(e.Name)
+	}
+	for _, m := range e.roll.Direct(now) {
+		if e.Regions[m.Domain] != e.Region || now.Before(e.store.avoid[m.Peer]) {
+			continue
+		}
+		if h := xxhash.Sum64String(m.Name); h > most {
+			first, most = m.Peer, h
 		}
 	}
-	watching := before < watchers
-	if watching && !e.store.watching && !e.store.lost {
+	if first != e.store.follows {
+		e.Log.Info().Str("from", first).Bool("lost", e.store.lost).Msg("follows another instance, or the store where none is named")
+		e.store.follows = first
 		e.store.reopen()
 	}
-	e.store.watching = watching
 }
 
 // catchUp asks another instance that knows more of the store, and has the
@@ -171,12 +228,14 @@
 		return
 	}
 	e.store.asking = true
-	if !e.store.lost {
-		e.store.reopen()
+	if e.store.follows != "" {
+		e.avoidUntil(e.store.follows, now.Add(avoidTime))
 	}
+	e.store.reopen()
 	e.mu.Unlock()
 	go func() {
-		f := follower.Feed{Address: address}
+		f := &follower.Feed{Address: address}
+		defer f.Close()
 		err := e.pull(ctx, f, false)
 		if errors.Is(err, lacewingramp.ErrCompacted) {
 			err = e.pull(ctx, f, true)
--- a/internal/entry/edge/edge_notice.go
+++ b/internal/entry/edge/edge_notice.go
@@ -93,11 +93,14 @@
 // lapseEnd returns until when a listing that ends now may come back, if it may
 // have ended because the store was away and not because its target has left.
 func (e *Edge) lapseEnd(now time.Time) (time.Time, bool) {
-	if e.store.lost {
-		return now.Add(relayedLapse), true
+	until := e.store.dark.Add(lapseTime)
+	if !now.Before(until) {
+		return time.Time{}, false
 	}
-	until := e.store.regained.Add(lapseTime)
-	return until, now.Before(until)
+	if latest := now.Add(lapseMost); until.After(latest) {
+		until = latest
+	}
+	return until, true
 }
 
 func (e *Edge) removeTarget(now time.Time, name string, revision int64) {
--- a/internal/peer/follower/follower_test.go
+++ b/internal/peer/follower/follower_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"sync"
+	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
@@ -12,13 +14,49 @@
 	"lacewingramp.example/lacewingramp/internal/peer/follower"
 )
 
+// locked is a mirror for more than one goroutine.
+type locked struct {
+	mu     sync.Mutex
+	mirror *mirror.Mirror
+}
+
+func (l *locked) apply(revision int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if revision == 1 {
+		l.mirror.Reset(nil, 1)
+		return
+	}
+	l.mirror.Apply([]lacewingramp.Change{{Item: lacewingramp.Item{Key: "k", Revision: revision}}}, revision)
+}
+
+func (l *locked) Snapshot() ([]lacewingramp.Item, int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.mirror.Snapshot()
+}
+
+func (l *locked) Since(after int64) ([]lacewingramp.Change, int64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.mirror.Since(after)
+}
+
+func (l *locked) Changed() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.mirror.Changed()
+}
+
 var _ = ginkgo.Describe("a follower of another instance", func() {
-	serve := func(m *mirror.Mirror) follower.Feed {
+	serve := func(m *mirror.Mirror) *follower.Feed {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		ginkgo.DeferCleanup(l.Close)
-		go func() { _ = follower.Serve(l, m) }()
-		return follower.Feed{Address: l.Addr().String()}
+		go func() { _ = follower.Serve(l, &locked{mirror: m}) }()
+		f := &follower.Feed{Address: l.Addr().String()}
+		ginkgo.DeferCleanup(f.Close)
+		return f
 	}
 
 	ginkgo.It("ends with what the other knows", func(ctx context.Context) {
@@ -41,6 +79,29 @@
 		gomega.Expect(at).To(gomega.Equal(int64(3)))
 	})
 
+	ginkgo.It("waits at the other for a change, and for no longer than it says", func(ctx context.Context) {
+		m := &locked{mirror: &mirror.Mirror{}}
+		m.apply(1)
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		ginkgo.DeferCleanup(l.Close)
+		go func() { _ = follower.Serve(l, m) }()
+		f := &follower.Feed{Address: l.Addr().String()}
+		ginkgo.DeferCleanup(f.Close)
+		all, _, err := f.Changes(ctx, 1, time.Millisecond)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(all).To(gomega.BeEmpty())
+		got := make(chan int64, 1)
+		go func() {
+			_, revision, err := f.Changes(ctx, 1, 9*time.Second)
+			if err == nil {
+				got <- revision
+			}
+		}()
+		m.apply(2)
+		gomega.Eventually(got, 5*time.Second).Should(gomega.Receive(gomega.Equal(int64(2))))
+	})
+
 	ginkgo.It("is told that changes are gone, and that nobody answers", func(ctx context.Context) {
 		var source mirror.Mirror
 		source.Reset(nil, 9)
@@ -49,7 +110,7 @@
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		_ = l.Close()
-		_, _, err = follower.Feed{Address: l.Addr().String()}.Changes(ctx, 3, 0)
+		_, _, err = (&follower.Feed{Address: l.Addr().String()}).Changes(ctx, 3, 0)
 		gomega.Expect(err).To(gomega.HaveOccurred())
 	})
 })
--- a/internal/peer/heartbeat/roll.go
+++ b/internal/peer/heartbeat/roll.go
@@ -130,13 +130,14 @@
 	return r.pick(func(m *member) bool { return m.alive(now) && m.ready && !m.Leaving })
 }
 
-// Direct lists the names of the instances that the store answers.
-func (r *Roll) Direct(now time.Time) []string {
-	var all []string
-	for _, e := range r.pick(func(m *member) bool { return m.alive(now) && m.direct }) {
-		all = append(all, e.Name)
-	}
-	return all
+// Direct lists the instances that the store answers.
+func (r *Roll) Direct(now time.Time) []lacewingramp.Endpoint {
+	return r.pick(func(m *member) bool { return m.alive(now) && m.direct && !m.Leaving })
+}
+
+// Cut reports whether there is an instance that the store does not answer.
+func (r *Roll) Cut(now time.Time) bool {
+	return len(r.pick(func(m *member) bool { return m.alive(now) && !m.direct })) > 0
 }
 
 func (r *Roll) pick(fits func(*member) bool) []lacewingramp.Endpoint {
