Send heartbeats to twelve instances a round

Change: a round goes to eight instances of the own region and four of others by turns; an instance counts as alive for four of its turns.

--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -39,10 +39,6 @@
 	"lacewingramp.example/lacewingramp/internal/steer/placement"
 )
 
-// beatPeriod is the time between two heartbeats, in which news of demand,
-// rollouts and crashes spreads.
-const beatPeriod = 250 * time.Millisecond
-
 // Settings is what an instance knows at its start.
 type Settings struct {
 	Name    string
@@ -147,7 +143,7 @@
 	e.splits = make(map[string]*split)
 	e.lapsed = make(map[string]time.Time)
 	e.probed = make(map[string]bool)
-	e.roll = heartbeat.Roll{Self: s.Name}
+	e.roll = heartbeat.Roll{Self: s.Name, Region: s.Region, Regions: s.Regions}
 	e.store.reopen = func() {}
 	return e
 }
@@ -176,7 +172,7 @@
 	wait.Go(func() { socket.Receive(e.hear, e.garbled) })
 	wait.Go(func() { e.warn(follower.Serve(peers, source{e}), "serving instances") })
 	wait.Go(func() { e.warn(e.server.Serve(callers), "serving callers") })
-	stopBeat := e.Timer.Every(beatPeriod, func(now time.Time) { e.beat(work, now, socket) })
+	stopBeat := e.Timer.Every(heartbeat.Period, func(now time.Time) { e.beat(work, now, socket) })
 	<-ctx.Done()
 	e.stop(callers, socket)
 	stopBeat()
--- a/internal/entry/edge/edge_beat.go
+++ b/internal/entry/edge/edge_beat.go
@@ -32,7 +32,7 @@
 	e.sweepLapsed(now)
 	e.tickRollouts(ctx, now)
 	h := e.heartbeat(now)
-	addresses := e.roll.Addresses()
+	addresses := e.roll.Turn()
 	e.mu.Unlock()
 	e.client.Sweep(now)
 	e.logOmitted()
--- a/internal/entry/edge/edge_rollout.go
+++ b/internal/entry/edge/edge_rollout.go
@@ -11,6 +11,7 @@
 
 	"lacewingramp.example/lacewingramp"
 	"lacewingramp.example/lacewingramp/internal/change/rollout"
+	"lacewingramp.example/lacewingramp/internal/peer/heartbeat"
 )
 
 const (
@@ -292,7 +293,7 @@
 	}
 	e.Log.Info().Str("key", w.key).Bool("written", err == nil).Str("value", w.value).Msg("rollout written")
 	// The mirror shows it in a moment: until then it is not written again.
-	e.Timer.After(beatPeriod, func(time.Time) {
+	e.Timer.After(heartbeat.Period, func(time.Time) {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		o.writing = false
--- a/internal/peer/heartbeat/heartbeat_test.go
+++ b/internal/peer/heartbeat/heartbeat_test.go
@@ -1,6 +1,7 @@
 package heartbeat_test
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -66,6 +67,41 @@
 		gomega.Expect(r.Serving(start)).To(gomega.BeEmpty())
 	})
 
+	ginkgo.It("sends to few at a time in a large fleet, to each by turns, and takes none for dead meanwhile", func() {
+		const size = 60
+		regions := map[string]string{"a": "north", "b": "south"}
+		rolls := make([]*heartbeat.Roll, size)
+		byAddress := make(map[string]int)
+		ends := make([]lacewingramp.Endpoint, size)
+		for i := range rolls {
+			e := endpoint(fmt.Sprint("edge-", i), 1)
+			e.Domain = []string{"a", "b"}[i%2]
+			e.Peer = fmt.Sprintf("10.0.0.%d:1", i)
+			ends[i] = e
+			byAddress[e.Peer] = i
+			rolls[i] = &heartbeat.Roll{Self: e.Name, Region: regions[e.Domain], Regions: regions}
+		}
+		for _, r := range rolls {
+			for _, e := range ends {
+				r.List(start, e)
+			}
+		}
+		now := start
+		for round := range 200 {
+			now = now.Add(heartbeat.Period)
+			for i, r := range rolls {
+				to := r.Turn()
+				gomega.Expect(len(to)).To(gomega.BeNumerically("<=", 12))
+				for _, a := range to {
+					rolls[byAddress[a]].Hear(now, &lacewingramp.Heartbeat{Endpoint: ends[i], Ready: true, Revision: 1})
+				}
+			}
+			if round > 40 {
+				gomega.Expect(rolls[7].Alive(now)).To(gomega.HaveLen(size - 1))
+			}
+		}
+	})
+
 	ginkgo.It("finds one that has known more of the store for a while", func() {
 		r := heartbeat.Roll{Self: "one"}
 		r.Hear(start, beat("two", 1, 9))
--- a/internal/peer/heartbeat/roll.go
+++ b/internal/peer/heartbeat/roll.go
@@ -8,8 +8,17 @@
 )
 
 const (
-	// Lively is how long after its last heartbeat an instance counts as alive.
-	Lively = 1500 * time.Millisecond
+	// Period is the time between two rounds of heartbeats.
+	Period = 250 * time.Millisecond
+	// nearMost and farMost are how many instances of the own region, and of
+	// others, a heartbeat goes to in a round. The rest have their turn in the
+	// next, so that the messages of an instance do not grow with the fleet.
+	nearMost = 8
+	farMost  = 4
+	// livelyLeast is how long after its last heartbeat an instance counts as
+	// alive at least, livelyRounds how many of its turns may be missed.
+	livelyLeast  = 1500 * time.Millisecond
+	livelyRounds = 4
 	// remembered is how long an instance that is silent is still sent to: it
 	// may be cut off, or start again at the same address.
 	remembered = 2 * time.Minute
@@ -18,10 +27,63 @@
 // Roll is the list of the other instances. Its zero value is empty. It is not
 // safe for use by more than one goroutine.
 type Roll struct {
-	// Self is the name of this instance.
-	Self string
+	// Self is the name of this instance, Region its region.
+	Self   string
+	Region string
+	// Regions maps failure domains to regions.
+	Regions map[string]string
 
 	all map[string]*member
+	// lists are the other instances of the own region and of others.
+	lists [2]list
+}
+
+// list is a group of instances that heartbeats go to by turns.
+type list struct {
+	addresses []string
+	next      int
+	// lively is how long after its last heartbeat one of them counts as alive.
+	lively time.Duration
+}
+
+// The lists of a Roll.
+const (
+	near = iota
+	far
+)
+
+// turn returns those whose turn it is.
+func (l *list) turn(most int) []string {
+	if len(l.addresses) <= most {
+		return l.addresses
+	}
+	var all []string
+	for range most {
+		l.next = (l.next + 1) % len(l.addresses)
+		all = append(all, l.addresses[l.next])
+	}
+	return all
+}
+
+// set takes in the members of a list, most of which have their turn at a time.
+func (l *list) set(addresses []string, most int) {
+	sort.Strings(addresses)
+	l.addresses = addresses
+	rounds := (len(addresses) + most - 1) / most
+	l.lively = max(livelyLeast, time.Duration(livelyRounds*rounds)*Period)
+}
+
+// where returns which list an instance belongs to.
+func (r *Roll) where(m *member) int {
+	if r.Regions[m.Domain] == r.Region {
+		return near
+	}
+	return far
+}
+
+// alive reports whether an instance has been heard lately.
+func (r *Roll) alive(now time.Time, m *member) bool {
+	return now.Sub(m.heard) <= max(livelyLeast, r.lists[r.where(m)].lively)
 }
 
 // member is another instance. listed says that the store has it.
@@ -78,24 +140,19 @@
 	if h.Endpoint.Born < m.Born {
 		return false
 	}
-	regained = now.Sub(m.heard) > Lively
 	m.Endpoint = h.Endpoint
+	regained = !r.alive(now, m)
 	m.heard, m.known = now, now
 	m.ready, m.direct = h.Ready, h.Direct
 	m.revision = max(m.revision, h.Revision)
 	return regained
 }
 
-// Alive reports whether an instance has been heard lately.
-func (m *member) alive(now time.Time) bool {
-	return now.Sub(m.heard) <= Lively
-}
-
 // Sweep forgets instances that have been silent for long, and returns the
 // names of those that are known to be gone.
 func (r *Roll) Sweep(now time.Time) (gone []string) {
 	for name, m := range r.all {
-		if m.alive(now) || m.listed {
+		if r.alive(now, m) || m.listed {
 			continue
 		}
 		if now.Sub(m.known) > remembered {
@@ -107,37 +164,49 @@
 	return gone
 }
 
-// Addresses lists where heartbeats go.
+// Addresses lists all instances that heartbeats go to.
 func (r *Roll) Addresses() []string {
-	all := make([]string, 0, len(r.all))
+	r.setLists()
+	return append(append([]string(nil), r.lists[near].addresses...), r.lists[far].addresses...)
+}
+
+// Turn lists where the heartbeats of the next round go.
+func (r *Roll) Turn() []string {
+	r.setLists()
+	return append(append([]string(nil), r.lists[near].turn(nearMost)...), r.lists[far].turn(farMost)...)
+}
+
+func (r *Roll) setLists() {
+	var all [len(r.lists)][]string
 	for _, m := range r.all {
 		if m.Peer != "" {
-			all = append(all, m.Peer)
+			w := r.where(m)
+			all[w] = append(all[w], m.Peer)
 		}
 	}
-	sort.Strings(all)
-	return all
+	r.lists[near].set(all[near], nearMost)
+	r.lists[far].set(all[far], farMost)
 }
 
 // Alive lists the instances that have been heard lately, this one not among
 // them.
 func (r *Roll) Alive(now time.Time) []lacewingramp.Endpoint {
-	return r.pick(func(m *member) bool { return m.alive(now) })
+	return r.pick(func(m *member) bool { return r.alive(now, m) })
 }
 
 // Serving lists the instances that take requests of callers.
 func (r *Roll) Serving(now time.Time) []lacewingramp.Endpoint {
-	return r.pick(func(m *member) bool { return m.alive(now) && m.ready && !m.Leaving })
+	return r.pick(func(m *member) bool { return r.alive(now, m) && m.ready && !m.Leaving })
 }
 
 // Direct lists the instances that the store answers.
 func (r *Roll) Direct(now time.Time) []lacewingramp.Endpoint {
-	return r.pick(func(m *member) bool { return m.alive(now) && m.direct && !m.Leaving })
+	return r.pick(func(m *member) bool { return r.alive(now, m) && m.direct && !m.Leaving })
 }
 
 // Cut reports whether there is an instance that the store does not answer.
 func (r *Roll) Cut(now time.Time) bool {
-	return len(r.pick(func(m *member) bool { return m.alive(now) && !m.direct })) > 0
+	return len(r.pick(func(m *member) bool { return r.alive(now, m) && !m.direct })) > 0
 }
 
 func (r *Roll) pick(fits func(*member) bool) []lacewingramp.Endpoint {
@@ -154,7 +223,7 @@
 // Count returns how many instances may be at work: those that have been heard
 // lately or are listed, and this one.
 func (r *Roll) Count(now time.Time) int {
-	return 1 + len(r.pick(func(m *member) bool { return m.listed || m.alive(now) }))
+	return 1 + len(r.pick(func(m *member) bool { return m.listed || r.alive(now, m) }))
 }
 
 // Ahead returns the address of an instance that knows the store further than
@@ -169,7 +238,7 @@
 		if m.ahead.IsZero() {
 			m.ahead = now
 		}
-		if m.alive(now) && m.revision > best && now.Sub(m.ahead) >= patience {
+		if r.alive(now, m) && m.revision > best && now.Sub(m.ahead) >= patience {
 			best, address = m.revision, m.Peer
 		}
 	}
