Move objects from full targets to free ones, and keep them there

Change: where an object's first target has been full for about a second and its second is less than half as full, the object moves to the second and stays, one object in 0.2 s a target.

--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -46,6 +46,21 @@
 	// fillLast is how full a target may be, in requests for each slot, when all
 	// that an object may go to are full.
 	fillLast = 1.7
+	// pressureTime is over how long a target's fill is averaged, and
+	// pressureKept what one answer leaves of the average at least, as answers
+	// come seldom from some targets.
+	pressureTime = time.Second
+	pressureKept = 0.8
+	// pressureFresh is how long a target's pressure counts.
+	pressureFresh = 3 * time.Second
+	// pressureHigh is the fill above which a target gives objects away, to one
+	// with at most pressurePart of its own.
+	pressureHigh = 0.8
+	pressurePart = 0.5
+	// relieveTime is the time between two objects that a target gives away.
+	relieveTime = 200 * time.Millisecond
+	// movesMost bounds how many moved objects are remembered.
+	movesMost = 8192
 	// failureFade is how fast failures of a target are forgotten.
 	failureFade = 2 * time.Second
 	// failureMost is the part of failures above which a target is avoided.
@@ -66,7 +81,7 @@
 	// homeWeight is how much a target of the instance's own region counts in
 	// an object's order, against one elsewhere: its answers are sooner here and
 	// cost nothing on the links between regions.
-	homeWeight = 3.0
+	homeWeight = 4.0
 	// ownLeast is how many requests an instance may have at any target.
 	ownLeast = 2
 )
@@ -121,6 +136,12 @@
 	loadAt  time.Time
 	loadOwn int
 
+	// pressure is how full the target has been lately.
+	pressure   float64
+	pressureAt time.Time
+	// relieved is when an object was last moved away.
+	relieved time.Time
+
 	failures  float64
 	failureAt time.Time
 	suspended time.Time
@@ -148,6 +169,8 @@
 	services  map[string][]*target
 	settings  map[string]lacewingramp.Service
 	evacuated map[string]bool
+	// moves are the objects that were moved to their second target.
+	moves map[moveKey]string
 	members   []string
 	most      int
 }
@@ -285,6 +308,12 @@
 	return true
 }
 
+// moveKey is an object of a service.
+type moveKey struct {
+	service string
+	object  string
+}
+
 // ranked is a target with its place in an object's order.
 type ranked struct {
 	*target
@@ -365,6 +394,7 @@
 		return Choice{}
 	}
 	all = near(now, all)
+	p.swap(now, &q, all)
 	if c, ok := p.first(now, all, func(i int, t *target) bool {
 		return t.inflight < t.ownMost() && t.fill(now) < fillMost[min(i, len(fillMost)-1)] && !t.failing(now)
 	}); ok {
@@ -379,6 +409,52 @@
 	return Choice{Full: true}
 }
 
+// swap puts an object's second target first, if the object has been moved there
+// or is moved now: from a target that has been full for a while to one that has
+// not. It stays there, so that both keep what they know.
+func (p *Placer) swap(now time.Time, q *Query, all []ranked) {
+	if q.Object == "" || len(all) < spread {
+		return
+	}
+	first, second := all[0], all[1]
+	key := moveKey{service: q.Service, object: q.Object}
+	if m, ok := p.moves[key]; ok && m == second.Name {
+		all[0], all[1] = second, first
+		return
+	}
+	if !first.mayRelieve(now, second.target) {
+		return
+	}
+	if p.moves == nil || len(p.moves) >= movesMost {
+		p.moves = make(map[moveKey]string)
+	}
+	p.moves[key] = second.Name
+	first.relieved = now
+	all[0], all[1] = second, first
+}
+
+// mayRelieve reports whether an object of a target should move to another.
+func (t *target) mayRelieve(now time.Time, other *target) bool {
+	return t.pressed(now) > pressureHigh && other.pressed(now) < pressurePart*t.pressed(now) &&
+		now.Sub(t.relieved) >= relieveTime
+}
+
+// pressed returns how full a target has been lately.
+func (t *target) pressed(now time.Time) float64 {
+	if now.Sub(t.pressureAt) > pressureFresh {
+		return 0
+	}
+	return t.pressure
+}
+
+// press takes in how full a target said it was.
+func (t *target) press(now time.Time, fill float64) {
+	kept := math.Exp(-now.Sub(t.pressureAt).Seconds() / pressureTime.Seconds())
+	kept = min(max(kept, pressureKept), 1)
+	t.pressure = kept*t.pressure + (1-kept)*fill
+	t.pressureAt = now
+}
+
 // near returns the targets that an object may go to: the first few that are
 // warm, and the cold ones before them. Further ones do not know the object, and
 // would forget another for it.
@@ -533,6 +609,7 @@
 	t.gone = t.gone || r.Gone
 	if r.Load != nil {
 		t.load, t.loadAt, t.loadOwn = *r.Load, now, t.inflight
+		t.press(now, float64(r.Load.Running+r.Load.Waiting)/float64(max(1, t.Slots)))
 	}
 	if r.Cold > 0 {
 		t.coldUntil = now.Add(r.Cold + coldMargin)
--- a/internal/steer/placement/placement_test.go
+++ b/internal/steer/placement/placement_test.go
@@ -243,3 +243,53 @@
 		gomega.Expect(rush(start, []*placement.Placer{p})).To(gomega.Equal(1000))
 	})
 })
+
+var _ = ginkgo.Describe("objects under lasting load", func() {
+	// full makes a target say for lasting that it is as full as told.
+	const lasting = 4 * time.Second
+	full := func(p *placement.Placer, now time.Time, name string, running, waiting int) {
+		for i := range 80 {
+			at := now.Add(time.Duration(i) * 50 * time.Millisecond)
+			p.Done(at, placement.Report{Target: name, Load: &lacewingramp.Load{Running: running, Waiting: waiting, Slots: 8}})
+		}
+	}
+	where := func(p *placement.Placer, now time.Time, object string) string {
+		c := p.Choose(now, ask(object))
+		p.Cancel(c.Target.Name)
+		return c.Target.Name
+	}
+
+	ginkgo.It("move one by one from a full target to one that is not, and stay there", func() {
+		p := placer("one", 2, 8)
+		var objects []string
+		for i := range 40 {
+			if o := fmt.Sprint(i); where(p, start, o) == "t0" {
+				objects = append(objects, o)
+			}
+		}
+		full(p, start, "t0", 8, 0)
+		full(p, start, "t1", 2, 0)
+		now := start.Add(lasting)
+		moved := make(map[string]bool)
+		for range 3 {
+			for _, o := range objects {
+				if where(p, now, o) == "t1" {
+					moved[o] = true
+				}
+			}
+		}
+		gomega.Expect(moved).To(gomega.HaveLen(1))
+		full(p, now, "t0", 1, 0)
+		for o := range moved {
+			gomega.Expect(where(p, now.Add(lasting), o)).To(gomega.Equal("t1"))
+		}
+	})
+
+	ginkgo.It("stay where they are when all targets are full", func() {
+		p := placer("one", 2, 8)
+		before := where(p, start, "17")
+		full(p, start, "t0", 8, 4)
+		full(p, start, "t1", 8, 4)
+		gomega.Expect(where(p, start.Add(lasting), "17")).To(gomega.Equal(before))
+	})
+})
