Count the own demand on a limit as old as that of others

Change: an instance's own demand counts as the least it was while news are under way, one round of heartbeats up to 12 instances, 13 with 69.

--- a/internal/limit/share/share.go
+++ b/internal/limit/share/share.go
@@ -37,9 +37,11 @@
 	// calmPart is the part of a limit below which the demand of all instances
 	// leaves tokens unused.
 	calmPart = 0.8
-	// promptMost is how many instances at most all hear each other in every
-	// round of heartbeats.
-	promptMost = 13
+	// instancesARound is how many instances a round of heartbeats reaches, and
+	// roundsMore how many rounds as many others need: those of other regions
+	// have their turn less often.
+	instancesARound = 12
+	roundsMore      = 3
 	// burstLeast lets one request pass wherever there is a limit at all.
 	burstLeast = 1.0
 )
@@ -69,6 +71,8 @@
 	moment time.Time
 	demand float64
 	seen   time.Time
+	// recent is the demand at the last ticks, the newest last.
+	recent []float64
 }
 
 // Configure takes limits into force. A limit that stays keeps its tokens, as
@@ -126,12 +130,8 @@
 }
 
 // floor is how far a bucket may be overdrawn: while all instances together
-// are asked for clearly less than the limit, tokens lie unused at others. In a
-// large fleet the others' demand is known too late for that.
+// are asked for clearly less than the limit, tokens lie unused at others.
 func (b *Book) floor(now time.Time, customer string, a *account) float64 {
-	if b.instances > promptMost {
-		return 0
-	}
 	all := a.wanted(now)
 	for _, d := range b.peers {
 		all += d[customer]
@@ -188,6 +188,10 @@
 	for name, a := range b.accounts {
 		a.fill(now)
 		old := a.part
+		a.recent = append(a.recent, a.wanted(now))
+		if over := len(a.recent) - b.rounds(); over > 0 {
+			a.recent = a.recent[over:]
+		}
 		a.part = b.partAt(now, name, a)
 		if a.part < old {
 			a.level *= a.part / old
@@ -195,12 +199,29 @@
 	}
 }
 
+// rounds is how many rounds of heartbeats it takes until all instances have
+// heard of a change.
+func (b *Book) rounds() int {
+	return 1 + max(0, b.instances-instancesARound)/instancesARound*roundsMore
+}
+
+// settled returns the least demand of the time in which news are under way.
+// Where demand rises everywhere at once, an instance knows its own before that
+// of the others, and would take too large a part.
+func (a *account) settled(now time.Time) float64 {
+	least := a.wanted(now)
+	for _, d := range a.recent {
+		least = min(least, d)
+	}
+	return least
+}
+
 func (b *Book) part(name string, a *account) float64 {
 	return b.partAt(a.moment, name, a)
 }
 
 func (b *Book) partAt(now time.Time, name string, a *account) float64 {
-	own := a.wanted(now) + demandLeast
+	own := a.settled(now) + demandLeast
 	sum := own
 	for _, d := range b.peers {
 		sum += d[name] + demandLeast
--- a/internal/limit/share/share_test.go
+++ b/internal/limit/share/share_test.go
@@ -65,6 +65,11 @@
 		if f.now.Sub(start)%max(beat, f.late) == 0 {
 			f.exchange()
 		}
+		if f.now.Sub(start)%beat == 0 {
+			for _, b := range f.books {
+				b.Tick(f.now)
+			}
+		}
 	}
 }
 
@@ -77,9 +82,6 @@
 			}
 		}
 	}
-	for _, b := range f.books {
-		b.Tick(f.now)
-	}
 }
 
 // most is the largest number of requests in any window.
