--- /dev/null
+++ b/internal/steer/placement/placement_cold.go
@@ -0,0 +1,132 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lacewingramp.example/lacewingramp"
+)
+
+const (
+	// coldMargin covers the time that a listing takes to get here.
+	coldMargin = 300 * time.Millisecond
+	// coldBurst is how many requests a cold target may get at once.
+	coldBurst = 2.0
+	// uncertain is how long after its start an instance does not know which
+	// targets are cold: a listing may be that old.
+	uncertain = 2 * time.Second
+)
+
+// chill takes a target as just started.
+func (p *Placer) chill(now time.Time, t *target) {
+	warmup := time.Duration(p.settings[t.Service].Warmup)
+	if until := now.Add(warmup + coldMargin); warmup > 0 && until.After(t.coldUntil) {
+		t.coldUntil = until
+	}
+}
+
+// takeCold asks for one start at a cold target, which one instance keeps the
+// rate of.
+func (p *Placer) takeCold(now time.Time, t *target) bool {
+	rate := p.settings[t.Service].Coldrate
+	if rate <= 0 {
+		return true
+	}
+	if p.owner(t) != p.Self {
+		return false
+	}
+	if t.tokensAt.IsZero() {
+		t.tokens = 1
+	} else {
+		t.tokens = math.Min(coldBurst, t.tokens+rate*now.Sub(t.tokensAt).Seconds())
+	}
+	t.tokensAt = now
+	if t.tokens < 1 {
+		return false
+	}
+	t.tokens--
+	return true
+}
+
+// mayStart asks for one start at a target that is or may be cold. In the time
+// after its start an instance knows neither which targets are cold nor which
+// instance keeps their rate.
+func (p *Placer) mayStart(now time.Time, t *target, cold bool) bool {
+	switch {
+	case now.Sub(p.Begun) < uncertain && (cold || !t.known):
+		return p.takeUncertain(now, t)
+	case cold:
+		return p.takeCold(now, t)
+	default:
+		return true
+	}
+}
+
+// Uncertain lists the targets of which this instance does not know whether
+// they are cold.
+func (p *Placer) Uncertain(now time.Time) []lacewingramp.Target {
+	var all []lacewingramp.Target
+	if now.Sub(p.Begun) >= uncertain {
+		return nil
+	}
+	for _, name := range p.Names() {
+		if t := p.targets[name]; !t.known && !t.Leaving {
+			all = append(all, t.Target)
+		}
+	}
+	return all
+}
+
+// Probed takes in what a target said of itself when it was asked.
+func (p *Placer) Probed(now time.Time, r Report) {
+	t, ok := p.targets[r.Target]
+	if !ok {
+		return
+	}
+	t.known = true
+	t.coldUntil = time.Time{}
+	if r.Cold > 0 {
+		t.coldUntil = now.Add(r.Cold + coldMargin)
+	}
+	if r.Load != nil {
+		t.load, t.loadAt, t.loadOwn = *r.Load, now, t.inflight
+	}
+}
+
+// takeUncertain asks for one start at a target that may be cold, while any
+// instance may send there: each uses its part of the cold rate. The first
+// tokens differ from instance to instance, so that they do not all start at
+// the same moment.
+func (p *Placer) takeUncertain(now time.Time, t *target) bool {
+	rate := p.settings[t.Service].Coldrate
+	if rate <= 0 {
+		return true
+	}
+	part := rate / float64(max(1, p.most))
+	if t.tokensAt.IsZero() {
+		const unit = 1 << 53
+		t.tokens = math.Min(1, part) * float64(mix(xxhash.Sum64String(p.Self)^t.hash)>>11) / unit
+		t.tokensAt = p.Begun
+	}
+	t.tokens = math.Min(1, t.tokens+part*now.Sub(t.tokensAt).Seconds())
+	t.tokensAt = now
+	if t.tokens < 1 {
+		return false
+	}
+	t.tokens--
+	return true
+}
+
+// owner is the instance that a cold target belongs to, by rendezvous hashing.
+func (p *Placer) owner(t *target) string {
+	best, most := p.Self, uint64(0)
+	for _, n := range p.members {
+		h := mix(xxhash.Sum64String(n) ^ t.hash)
+		if h >= most {
+			best, most = n, h
+		}
+	}
+	return best
+}
