--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -55,7 +55,7 @@
 	return j.customer.Name
 }
 
-func (j *job) homes() lacewingramp.Names {
+func (j *job) customerRegions() lacewingramp.Names {
 	if j.customer == nil {
 		return nil
 	}
@@ -167,7 +167,7 @@
 	if j.deadline.Sub(now) < leftLeast || j.sent >= j.route.Attempts || j.unreachable >= unreachableMost {
 		return placement.Choice{}, "", false
 	}
-	q := placement.Query{Service: j.service, Routes: j.route.Regions, Homes: j.homes(), Tried: j.tried}
+	q := placement.Query{Service: j.service, RouteRegions: j.route.Regions, CustomerRegions: j.customerRegions(), Tried: j.tried}
 	if j.route.Affinity {
 		q.Object = j.call.Object
 	}
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -42,9 +42,11 @@
 	Service string
 	Version string
 	Object  string
-	Routes  lacewingramp.Names
-	Homes   lacewingramp.Names
-	Tried   []string
+	// RouteRegions and CustomerRegions are where the request may run, by its
+	// route and its customer. Both bind.
+	RouteRegions    lacewingramp.Names
+	CustomerRegions lacewingramp.Names
+	Tried           []string
 }
 
 // Choice is a target, or the reason why there is none: all are Full, or there
--- a/internal/steer/placement/placement_order.go
+++ b/internal/steer/placement/placement_order.go
@@ -32,7 +32,7 @@
 	if q.Version != "" && t.Version != q.Version {
 		return false
 	}
-	if !q.Routes.Allow(t.region) || !q.Homes.Allow(t.region) {
+	if !q.RouteRegions.Allow(t.region) || !q.CustomerRegions.Allow(t.region) {
 		return false
 	}
 	for _, n := range q.Tried {
--- a/internal/steer/placement/placement_test.go
+++ b/internal/steer/placement/placement_test.go
@@ -123,7 +123,7 @@
 		q.Version = "v2"
 		gomega.Expect(p.Choose(start, q)).To(gomega.Equal(placement.Choice{}))
 		q = ask("17")
-		q.Routes, q.Homes = lacewingramp.Names{"south", "north"}, lacewingramp.Names{"south"}
+		q.RouteRegions, q.CustomerRegions = lacewingramp.Names{"south", "north"}, lacewingramp.Names{"south"}
 		gomega.Expect(p.Choose(start, q).Target.Domain).To(gomega.Equal("b"))
 		p.Evacuate(start, "b", true)
 		gomega.Expect(p.Choose(start, q).Target).To(gomega.BeNil())
