Tell other regions the demand of a whole region, and know when nobody watches the store

Change: (1) a heartbeat to another region carries the demand of the sender's region, so that it is 1 s old at most; (2) listings are kept only when no instance watched the store a moment before.

--- a/heartbeat.go
+++ b/heartbeat.go
@@ -5,9 +5,11 @@
 // it is a state and not a change.
 //
 // Revision is up to where the instance knows the store, and Direct says that
-// the store answers it. Demand is what its
-// callers ask of customers' limits, in requests a second. Marks, Evidence and
-// Outcomes are those of the request prints and rollouts at hand.
+// the store answers it. Watches says that it watches the store itself and has
+// had an answer lately. Demand is what its callers ask of customers' limits, in
+// requests a second; to other regions it is that of Sum instances of its region
+// together. Marks, Evidence and Outcomes are those of the request prints and
+// rollouts at hand.
 type Heartbeat struct {
 	Endpoint Endpoint           `cbor:"1,keyasint"`
 	Ready    bool               `cbor:"2,keyasint,omitempty"`
@@ -17,6 +19,8 @@
 	Evidence []Evidence         `cbor:"6,keyasint,omitempty"`
 	Outcomes []Outcome          `cbor:"7,keyasint,omitempty"`
 	Direct   bool               `cbor:"8,keyasint,omitempty"`
+	Watches  bool               `cbor:"9,keyasint,omitempty"`
+	Sum      int                `cbor:"10,keyasint,omitempty"`
 }
 
 // Check reports a heartbeat that no instance sends.
--- a/internal/entry/edge/edge_beat.go
+++ b/internal/entry/edge/edge_beat.go
@@ -26,17 +26,25 @@
 	for _, name := range e.roll.Sweep(now) {
 		e.quota.Forget(name)
 	}
+	for _, region := range e.Regions {
+		if !e.roll.Inhabited(now, region) {
+			e.quota.Forget(regionMark + region)
+		}
+	}
 	e.setMembers(now)
 	e.quota.Tick(now)
 	e.setFollowed(now)
 	e.sweepLapsed(now)
 	e.tickRollouts(ctx, now)
-	h := e.heartbeat(now)
-	addresses := e.roll.Turn()
+	own, others := e.roll.Turn()
+	near, far := e.heartbeat(now), e.heartbeat(now)
+	near.Demand = compact(e.quota.Demand(now))
+	region, size := e.quota.Sum(now, e.nearNames(now))
+	far.Demand, far.Sum = compact(region), size
 	e.mu.Unlock()
 	e.client.Sweep(now)
 	e.logOmitted()
-	if err := s.Send(h, addresses); err != nil {
+	if err := errors.Join(s.Send(near, own), s.Send(far, others)); err != nil {
 		e.Log.Error().Err(err).Msg("could not send a heartbeat")
 	}
 	e.catchUp(ctx, now)
@@ -58,19 +66,39 @@
 func (e *Edge) heartbeat(now time.Time) *lacewingramp.Heartbeat {
 	self := e.self
 	self.Leaving = e.ending.Load()
-	h := &lacewingramp.Heartbeat{
-		Endpoint: self, Ready: e.Ready(), Revision: e.mirror.Revision(), Direct: !e.store.lost,
+	return &lacewingramp.Heartbeat{
+		Endpoint: self, Ready: e.Ready(), Revision: e.mirror.Revision(),
+		Direct: !e.store.lost, Watches: e.watches(now),
 		Marks: e.ward.Marks(now), Evidence: e.rollouts.Evidence(), Outcomes: e.rollouts.Outcomes(),
 	}
-	for name, d := range e.quota.Demand(now) {
-		if h.Demand == nil {
-			h.Demand = make(map[string]float32)
+}
+
+// compact returns demand in the form in which it is sent.
+func compact(d share.Demand) map[string]float32 {
+	if len(d) == 0 {
+		return nil
+	}
+	all := make(map[string]float32, len(d))
+	for name, v := range d {
+		all[name] = float32(v)
+	}
+	return all
+}
+
+// nearNames lists the other instances of the region that are alive.
+func (e *Edge) nearNames(now time.Time) []string {
+	var all []string
+	for _, m := range e.roll.Alive(now) {
+		if e.roll.Near(m) {
+			all = append(all, m.Name)
 		}
-		h.Demand[name] = float32(d)
 	}
-	return h
+	return all
 }
 
+// regionMark stands before the name of a region whose demand counts as one.
+const regionMark = "region "
+
 // hear takes in another instance's heartbeat.
 func (e *Edge) hear(h *lacewingramp.Heartbeat) {
 	e.mu.Lock()
@@ -86,7 +114,11 @@
 	for name, v := range h.Demand {
 		d[name] = float64(v)
 	}
-	e.quota.Hear(h.Endpoint.Name, d)
+	if e.roll.Near(h.Endpoint) {
+		e.quota.Hear(h.Endpoint.Name, 1, d)
+	} else {
+		e.quota.Hear(regionMark+e.Regions[h.Endpoint.Domain], max(1, h.Sum), d)
+	}
 	e.ward.Merge(now, h.Marks)
 	e.rollouts.Hear(h.Evidence, h.Outcomes)
 }
--- a/internal/entry/edge/edge_follow.go
+++ b/internal/entry/edge/edge_follow.go
@@ -41,11 +41,13 @@
 	lapseMost = 1700 * time.Millisecond
 )
 
-// storeState is what an instance knows of its way to the store. Dark is when an
-// instance last said that the store does not answer it.
+// storeState is what an instance knows of its way to the store. Answered is
+// when the store last answered a watch here, and dark when there last was no
+// instance that it answers.
 type storeState struct {
 	lost     bool
 	lostAt   time.Time
+	answered time.Time
 	dark     time.Time
 	reopen   func()
 	asking   bool
@@ -188,18 +190,19 @@
 func (e *Edge) storeBack() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.store.answered = e.Timer.Now()
 	if !e.store.lost {
 		return
 	}
 	now := e.Timer.Now()
-	e.store.lost, e.store.dark = false, now
+	e.store.lost = false
 	e.Log.Info().Dur("away", now.Sub(e.store.lostAt)).Int64("revision", e.mirror.Revision()).Msg("regained the store")
 }
 
 // setFollowed finds out whom this instance follows: one of the two that watch
 // the store, or the store itself where that is this one.
 func (e *Edge) setFollowed(now time.Time) {
-	if e.store.lost || e.roll.Cut(now) {
+	if !e.watches(now) && !e.roll.Watched(now) {
 		e.store.dark = now
 	}
 	var all []lacewingramp.Endpoint
@@ -220,6 +223,14 @@
 	e.store.reopen()
 }
 
+// watches reports whether this instance watches the store and gets answers.
+func (e *Edge) watches(now time.Time) bool {
+	return e.store.follows == "" && !e.store.lost && now.Sub(e.store.answered) < answeredTime
+}
+
+// answeredTime is how long an answer of the store shows that it is there.
+const answeredTime = 2 * watchWait
+
 // followed picks whom an instance follows, out of those that the store answers.
 // Two of them watch the store, in two regions if there are two: the first in an
 // order, and the first that is not in its region. An instance follows the one
--- a/internal/limit/share/share.go
+++ b/internal/limit/share/share.go
@@ -37,11 +37,9 @@
 	// calmPart is the part of a limit below which the demand of all instances
 	// leaves tokens unused.
 	calmPart = 0.8
-	// instancesARound is how many instances a round of heartbeats reaches, and
-	// roundsMore how many rounds as many others need: those of other regions
-	// have their turn less often.
-	instancesARound = 12
-	roundsMore      = 3
+	// instancesARound is by how many instances the rounds grow by one that news
+	// of demand need to reach all.
+	instancesARound = 20
 	// burstLeast lets one request pass wherever there is a limit at all.
 	burstLeast = 1.0
 )
@@ -50,10 +48,16 @@
 // a second, whether they get it or not.
 type Demand map[string]float64
 
+// group is the demand of some instances together.
+type group struct {
+	demand Demand
+	size   int
+}
+
 // Book holds one instance's parts of all limits. Its zero value is ready.
 type Book struct {
 	accounts  map[string]*account
-	peers     map[string]Demand
+	peers     map[string]group
 	instances int
 }
 
@@ -133,8 +137,8 @@
 // are asked for clearly less than the limit, tokens lie unused at others.
 func (b *Book) floor(now time.Time, customer string, a *account) float64 {
 	all := a.wanted(now)
-	for _, d := range b.peers {
-		all += d[customer]
+	for _, g := range b.peers {
+		all += g.demand[customer]
 	}
 	if all > calmPart*a.limit.Rate {
 		return 0
@@ -170,12 +174,30 @@
 	return all
 }
 
-// Hear takes in another instance's demand.
-func (b *Book) Hear(peer string, d Demand) {
+// Hear takes in the demand of another instance, or of several together under
+// one name.
+func (b *Book) Hear(name string, size int, d Demand) {
 	if b.peers == nil {
-		b.peers = make(map[string]Demand)
+		b.peers = make(map[string]group)
+	}
+	b.peers[name] = group{demand: d, size: size}
+}
+
+// Sum returns the demand of this instance and of some others together, and how
+// many they are.
+func (b *Book) Sum(now time.Time, names []string) (Demand, int) {
+	all, size := b.Demand(now), 1
+	for _, n := range names {
+		g, ok := b.peers[n]
+		if !ok {
+			continue
+		}
+		size += g.size
+		for customer, d := range g.demand {
+			all[customer] += d
+		}
 	}
-	b.peers[peer] = d
+	return all, size
 }
 
 // Forget drops an instance that is known to be gone.
@@ -202,7 +224,7 @@
 // rounds is how many rounds of heartbeats it takes until all instances have
 // heard of a change.
 func (b *Book) rounds() int {
-	return 1 + max(0, b.instances-instancesARound)/instancesARound*roundsMore
+	return 1 + b.instances/instancesARound
 }
 
 // settled returns the least demand of the time in which news are under way.
@@ -223,10 +245,12 @@
 func (b *Book) partAt(now time.Time, name string, a *account) float64 {
 	own := a.settled(now) + demandLeast
 	sum := own
-	for _, d := range b.peers {
-		sum += d[name] + demandLeast
+	unheard := b.instances - 1
+	for _, g := range b.peers {
+		sum += g.demand[name] + demandLeast*float64(g.size)
+		unheard -= g.size
 	}
-	if unheard := b.instances - 1 - len(b.peers); unheard > 0 {
+	if unheard > 0 {
 		sum += float64(unheard) * own
 	}
 	return own / sum
--- a/internal/peer/heartbeat/roll.go
+++ b/internal/peer/heartbeat/roll.go
@@ -93,6 +93,7 @@
 	known    time.Time
 	ready    bool
 	direct   bool
+	watches  bool
 	listed   bool
 	revision int64
 	ahead    time.Time
@@ -143,7 +144,7 @@
 	m.Endpoint = h.Endpoint
 	regained = !r.alive(now, m)
 	m.heard, m.known = now, now
-	m.ready, m.direct = h.Ready, h.Direct
+	m.ready, m.direct, m.watches = h.Ready, h.Direct, h.Watches
 	m.revision = max(m.revision, h.Revision)
 	return regained
 }
@@ -170,10 +171,11 @@
 	return append(append([]string(nil), r.lists[near].addresses...), r.lists[far].addresses...)
 }
 
-// Turn lists where the heartbeats of the next round go.
-func (r *Roll) Turn() []string {
+// Turn lists where the heartbeats of the next round go, in the own region and
+// in others.
+func (r *Roll) Turn() (own, others []string) {
 	r.setLists()
-	return append(append([]string(nil), r.lists[near].turn(nearMost)...), r.lists[far].turn(farMost)...)
+	return r.lists[near].turn(nearMost), r.lists[far].turn(farMost)
 }
 
 func (r *Roll) setLists() {
@@ -204,9 +206,19 @@
 	return r.pick(func(m *member) bool { return r.alive(now, m) && m.direct && !m.Leaving })
 }
 
-// Cut reports whether there is an instance that the store does not answer.
-func (r *Roll) Cut(now time.Time) bool {
-	return len(r.pick(func(m *member) bool { return r.alive(now, m) && !m.direct })) > 0
+// Watched reports whether there is an instance that watches the store.
+func (r *Roll) Watched(now time.Time) bool {
+	return len(r.pick(func(m *member) bool { return r.alive(now, m) && m.watches })) > 0
+}
+
+// Inhabited reports whether there may be an instance at work in a region.
+func (r *Roll) Inhabited(now time.Time, region string) bool {
+	return len(r.pick(func(m *member) bool { return r.Regions[m.Domain] == region && (m.listed || r.alive(now, m)) })) > 0
+}
+
+// Near reports whether an instance is of the own region.
+func (r *Roll) Near(e lacewingramp.Endpoint) bool {
+	return r.where(&member{Endpoint: e}) == near
 }
 
 func (r *Roll) pick(fits func(*member) bool) []lacewingramp.Endpoint {
