--- a/internal/entry/edge/edge_probe.go
+++ b/internal/entry/edge/edge_probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"lacewingramp.example/lacewingramp"
@@ -15,9 +16,11 @@
 	// probeTimeout bounds a health check: a target that is busy answers late,
 	// and counts as uncertain meanwhile.
 	probeTimeout = time.Second
-	// probesMost is how many targets one instance asks at its start. In larger
-	// deployments the targets are left to prove themselves by their listings.
-	probesMost = 64
+	// probesMost is how many targets one instance asks at its start. Where there
+	// are more, it asks those of its own region, up to regionProbesMost, and the
+	// others are left to prove themselves by their listings.
+	probesMost       = 64
+	regionProbesMost = 256
 )
 
 // probeUncertain asks the targets that may be cold whether they are. A process
@@ -27,11 +30,7 @@
 	if m == nil {
 		return
 	}
-	uncertain := e.place.Uncertain(now)
-	if len(uncertain) > probesMost {
-		return
-	}
-	for _, t := range uncertain {
+	for _, t := range e.toProbe(e.place.Uncertain(now)) {
 		s, ok := m.Service(t.Service)
 		if !ok || s.Health == "" || e.probed[t.Name] {
 			continue
@@ -41,6 +40,15 @@
 	}
 }
 
+// toProbe picks the targets that are asked.
+func (e *Edge) toProbe(all []lacewingramp.Target) []lacewingramp.Target {
+	if len(all) <= probesMost {
+		return all
+	}
+	near := slices.DeleteFunc(all, func(t lacewingramp.Target) bool { return e.Regions[t.Domain] != e.Region })
+	return near[:min(len(near), regionProbesMost)]
+}
+
 // probe takes in a target's answer to a health check. Without one the target
 // stays uncertain.
 func (e *Edge) probe(t lacewingramp.Target, path string) {
