--- /dev/null
+++ b/e2e/commands_test.go
@@ -0,0 +1,57 @@
+package e2e
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+// say runs the program and returns what it prints.
+func say(args ...string) (string, error) {
+	out, err := exec.Command(filepath.Join(programs, "lacewingramp"), args...).CombinedOutput()
+	return string(out), err
+}
+
+// file writes a file for one test.
+func file(name, text string) string {
+	path := filepath.Join(ginkgo.GinkgoT().TempDir(), name)
+	gomega.Expect(os.WriteFile(path, []byte(text), 0o600)).To(gomega.Succeed())
+	return path
+}
+
+var _ = ginkgo.Describe("the commands for the platform", func() {
+	ginkgo.It("list every fault of the settings file and start nothing", func() {
+		path := file("boot.toml", "nodeName = \"edge-1\"\nip = \"nowhere\"\n")
+		for _, command := range []string{"serve", "settings"} {
+			out, err := say(command, "--settings", path)
+			gomega.Expect(err).To(gomega.HaveOccurred())
+			for _, want := range []string{"zone", "region", "nowhere", "listen.front", "platform.address", "portRange"} {
+				gomega.Expect(out).To(gomega.ContainSubstring(want))
+			}
+		}
+	})
+
+	ginkgo.It("explain a request from logs, or say that there is no line of it", func() {
+		log := file("one.log", `{"level":"info","instance":"one","id":"a1","status":429,"time":1000,"message":"ended"}`)
+		out, err := say("explain", "a1", log)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(out).To(gomega.Equal("00:00:01.000 one: ended status=429\n"))
+		out, err = say("explain", "b2", log)
+		gomega.Expect(err).To(gomega.HaveOccurred())
+		gomega.Expect(out).To(gomega.ContainSubstring("no line of request b2"))
+	})
+
+	ginkgo.It("play one emulated load, the same with the same seed", func() {
+		one, err := say("experiment", "--load", "bank-calm", "--seed", "3")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(one).To(gomega.ContainSubstring("lacewingramp"))
+		again, err := say("experiment", "--load", "bank-calm", "--seed", "3")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(again).To(gomega.Equal(one))
+		_, err = say("experiment", "--load", "none")
+		gomega.Expect(err).To(gomega.HaveOccurred())
+	})
+})
--- a/internal/operator/command/command.go
+++ b/internal/operator/command/command.go
@@ -51,6 +51,7 @@
 func commands(o output) []entry {
 	return []entry{
 		{name: "serve", about: "Run one instance on the platform", data: &cmdServe{output: o}},
+		{name: "settings", about: "Print the settings of an instance on the platform", data: &cmdSettings{output: o}},
 		{name: "entry", about: "Run one entry instance", data: &cmdEntry{output: o}},
 		{group: "table", name: "check", about: "Check a table file", data: &cmdTableCheck{output: o}},
 		{group: "table", name: "diff", about: "Show what a table file would change", data: &cmdTableDiff{output: o}},
