Give callers who leave a cause of their own

Cause: a request whose caller had closed its connection was logged as one whose time was over, which leads the reader to the wrong place.

--- a/cause.go
+++ b/cause.go
@@ -24,6 +24,7 @@
 	CauseTable                 // table
 	CausePaused                // paused
 	CauseLink                  // link
+	CauseLeft                  // left
 	causeEnd                   // end
 )
 
--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"lacewingramp.example/lacewingramp"
 	"lacewingramp.example/lacewingramp/internal/call/exchange"
 	"lacewingramp.example/lacewingramp/internal/call/message"
@@ -152,11 +154,11 @@
 		crashed := r.Died && e.crashed(choice.Target.Address)
 		died = died || crashed
 		e.report(ctx, j, choice, r, took, crashed, version)
-		if a := e.settle(j, r); a != nil {
+		if a := e.settle(ctx, j, r); a != nil {
 			return a
 		}
 	}
-	return e.finish(j)
+	return e.finish(ctx, j)
 }
 
 // choose finds the next target of a request, if it may have one.
@@ -255,7 +257,7 @@
 }
 
 // settle returns the caller's answer if there is one after an attempt.
-func (e *Edge) settle(j *job, r exchange.Result) *message.Answer {
+func (e *Edge) settle(ctx context.Context, j *job, r exchange.Result) *message.Answer {
 	if r.Unreachable {
 		j.unreachable++
 		return nil
@@ -269,7 +271,7 @@
 		if j.route.Idempotent {
 			return nil
 		}
-		return e.finish(j)
+		return e.finish(ctx, j)
 	}
 	message.Strip(r.Answer.Header)
 	r.Answer.Close = false
@@ -289,8 +291,22 @@
 	return a
 }
 
+// leave ends a request whose caller has left: nobody reads the answer.
+func (e *Edge) leave(j *job) *message.Answer {
+	if j.mayHaveRun || j.sent > 0 {
+		return e.fail(j, http.StatusBadGateway, lacewingramp.CauseLeft, "the caller has left")
+	}
+	e.mu.Lock()
+	e.quota.Refund(j.customerName())
+	e.mu.Unlock()
+	return e.reject(j, http.StatusServiceUnavailable, lacewingramp.CauseLeft, "the caller has left")
+}
+
 // finish answers a request that no target has answered well.
-func (e *Edge) finish(j *job) *message.Answer {
+func (e *Edge) finish(ctx context.Context, j *job) *message.Answer {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return e.leave(j)
+	}
 	if j.fallback != nil {
 		return e.relay(j, j.fallback)
 	}
