Say in one place whose duty a thing is

Who owns a cold target, writes a rollout and watches the store was worked out three times, each in its own way. It is peer/duty now, with a test.

--- a/internal/entry/edge/edge_follow.go
+++ b/internal/entry/edge/edge_follow.go
@@ -3,13 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sort"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/peer/duty"
 	"lacewingramp.example/lacewingramp/internal/peer/follower"
 )
 
@@ -236,30 +235,39 @@
 // order, and the first that is not in its region. An instance follows the one
 // in its region, or else the first. The result is empty for a watcher.
 func followed(self lacewingramp.Endpoint, all []lacewingramp.Endpoint, regions map[string]string) string {
-	sort.Slice(all, func(i, j int) bool { return xxhash.Sum64String(all[i].Name) > xxhash.Sum64String(all[j].Name) })
-	if len(all) == 0 {
+	first, ok := watcher(all, func(lacewingramp.Endpoint) bool { return true })
+	if !ok {
 		return ""
 	}
-	watchers := all[:1:1]
-	for _, m := range all[1:] {
-		if regions[m.Domain] != regions[all[0].Domain] {
-			watchers = append(watchers, m)
-			break
-		}
+	second, ok := watcher(all, func(m lacewingramp.Endpoint) bool { return regions[m.Domain] != regions[first.Domain] })
+	if !ok {
+		second, ok = watcher(all, func(m lacewingramp.Endpoint) bool { return m.Name != first.Name })
 	}
-	if len(watchers) == 1 {
-		watchers = all[:min(2, len(all))]
+	switch {
+	case first.Name == self.Name || (ok && second.Name == self.Name):
+		return ""
+	case ok && regions[second.Domain] == regions[self.Domain]:
+		return second.Peer
+	default:
+		return first.Peer
 	}
-	follows := watchers[0].Peer
-	for _, m := range watchers {
-		if m.Name == self.Name {
-			return ""
-		}
-		if regions[m.Domain] == regions[self.Domain] {
-			follows = m.Peer
+}
+
+// watchDuty is the duty to watch the store.
+const watchDuty = "watch the store"
+
+// watcher returns the one of the fitting instances whose duty it is to watch.
+func watcher(all []lacewingramp.Endpoint, fits func(lacewingramp.Endpoint) bool) (lacewingramp.Endpoint, bool) {
+	named := make(map[string]lacewingramp.Endpoint)
+	var names []string
+	for _, m := range all {
+		if fits(m) {
+			named[m.Name] = m
+			names = append(names, m.Name)
 		}
 	}
-	return follows
+	m, ok := named[duty.Owner(watchDuty, names)]
+	return m, ok
 }
 
 // catchUp asks another instance that knows more of the store, and has the
--- a/internal/entry/edge/edge_rollout.go
+++ b/internal/entry/edge/edge_rollout.go
@@ -6,11 +6,11 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"lacewingramp.example/lacewingramp"
 	"lacewingramp.example/lacewingramp/internal/change/rollout"
+	"lacewingramp.example/lacewingramp/internal/peer/duty"
 	"lacewingramp.example/lacewingramp/internal/peer/heartbeat"
 )
 
@@ -270,13 +270,11 @@
 	if now.Sub(o.dueAt) > dutyPatience {
 		return true
 	}
-	best, most := e.Name, xxhash.Sum64String(e.Name+o.name())
+	names := []string{e.Name}
 	for _, m := range e.roll.Alive(now) {
-		if h := xxhash.Sum64String(m.Name + o.name()); h > most {
-			best, most = m.Name, h
-		}
+		names = append(names, m.Name)
 	}
-	return best == e.Name
+	return duty.Owner(o.name(), names) == e.Name
 }
 
 // write writes a key that no other instance has written meanwhile. A lost
--- /dev/null
+++ b/internal/peer/duty/duty_test.go
@@ -0,0 +1,45 @@
+package duty_test
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"lacewingramp.example/lacewingramp/internal/peer/duty"
+)
+
+var _ = ginkgo.Describe("the owner of a duty", func() {
+	var names []string
+	for i := range 8 {
+		names = append(names, fmt.Sprint("edge-", i))
+	}
+
+	ginkgo.It("does not depend on the order of the instances", func() {
+		turned := slices.Clone(names)
+		slices.Reverse(turned)
+		for i := range 100 {
+			gomega.Expect(duty.Owner(fmt.Sprint(i), names)).To(gomega.Equal(duty.Owner(fmt.Sprint(i), turned)))
+		}
+	})
+
+	ginkgo.It("changes only for the duties of an instance that goes", func() {
+		counts := make(map[string]int)
+		for i := range 800 {
+			key := fmt.Sprint(i)
+			before, after := duty.Owner(key, names), duty.Owner(key, names[:7])
+			counts[before]++
+			if before != names[7] {
+				gomega.Expect(after).To(gomega.Equal(before))
+			}
+		}
+		for _, n := range names {
+			gomega.Expect(counts[n]).To(gomega.BeNumerically("~", 100, 40), n)
+		}
+	})
+
+	ginkgo.It("is nobody where there is no instance", func() {
+		gomega.Expect(duty.Owner("k", nil)).To(gomega.BeEmpty())
+	})
+})
--- a/internal/steer/placement/placement_cold.go
+++ b/internal/steer/placement/placement_cold.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/peer/duty"
 )
 
 const (
@@ -34,7 +35,7 @@
 	if rate <= 0 {
 		return true
 	}
-	if p.owner(t) != p.Self {
+	if owner := duty.Owner(t.Name, p.members); owner != p.Self && owner != "" {
 		return false
 	}
 	if t.tokensAt.IsZero() {
@@ -118,15 +119,3 @@
 	t.tokens--
 	return true
 }
-
-// owner is the instance that a cold target belongs to, by rendezvous hashing.
-func (p *Placer) owner(t *target) string {
-	best, most := p.Self, uint64(0)
-	for _, n := range p.members {
-		h := mix(xxhash.Sum64String(n) ^ t.hash)
-		if h >= most {
-			best, most = n, h
-		}
-	}
-	return best
-}
