Give an attempt a type, and drop what nothing reads

Seven parameters of one function are one value now; a setting and a sign that no code read are gone.

--- a/call.go
+++ b/call.go
@@ -32,7 +32,6 @@
 	Target    string
 	NotRun    bool
 	Elsewhere bool
-	Signed    bool
 	Load      *Load
 	Cold      time.Duration
 }
--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -137,6 +137,15 @@
 	poisonRetry = time.Second
 )
 
+// attempt is one sending of a request to a target.
+type attempt struct {
+	choice placement.Choice
+	result exchange.Result
+	took   time.Duration
+	// crashed says that the target broke the connection and refuses another.
+	crashed bool
+}
+
 // run sends an admitted request to targets until one has answered.
 func (e *Edge) run(ctx context.Context, j *job) *message.Answer {
 	died := false
@@ -146,15 +155,14 @@
 		e.ward.Leave(e.Timer.Now(), j.print, died)
 	}()
 	for ctx.Err() == nil {
-		choice, version, ok := e.choose(j)
+		choice, ok := e.choose(j)
 		if !ok {
 			break
 		}
-		r, took := e.send(ctx, j, choice)
-		crashed := r.Died && e.crashed(choice.Target.Address)
-		died = died || crashed
-		e.report(ctx, j, choice, r, took, crashed, version)
-		if a := e.settle(ctx, j, r); a != nil {
+		t := e.send(ctx, j, choice)
+		died = died || t.crashed
+		e.report(ctx, j, t)
+		if a := e.settle(ctx, j, t.result); a != nil {
 			return a
 		}
 	}
@@ -162,12 +170,12 @@
 }
 
 // choose finds the next target of a request, if it may have one.
-func (e *Edge) choose(j *job) (placement.Choice, string, bool) {
+func (e *Edge) choose(j *job) (placement.Choice, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.Timer.Now()
 	if j.deadline.Sub(now) < leftLeast || j.sent >= j.route.Attempts || j.unreachable >= unreachableMost {
-		return placement.Choice{}, "", false
+		return placement.Choice{}, false
 	}
 	q := placement.Query{Service: j.service, RouteRegions: j.route.Regions, CustomerRegions: j.customerRegions(), Tried: j.tried}
 	if j.route.Affinity {
@@ -182,22 +190,22 @@
 	}
 	if choice.Target == nil {
 		j.full = choice.Full
-		return choice, "", false
+		return choice, false
 	}
 	if j.sent > 0 && !e.budget.Take(now, j.service, e.roll.Count(now)) {
 		e.place.Cancel(choice.Target.Name)
 		if e.lines.Allow(now, "budget") {
 			e.Log.Info().Str("id", j.call.ID).Str("service", j.service).Int("sent", j.sent).Msg("not repeated: the retry budget is used up")
 		}
-		return placement.Choice{}, "", false
+		return placement.Choice{}, false
 	}
 	j.tried = append(j.tried, choice.Target.Name)
 	j.rank = choice.Rank
-	return choice, choice.Target.Version, true
+	return choice, true
 }
 
 // send sends a request to the chosen target.
-func (e *Edge) send(ctx context.Context, j *job, c placement.Choice) (exchange.Result, time.Duration) {
+func (e *Edge) send(ctx context.Context, j *job, c placement.Choice) attempt {
 	begun := e.Timer.Now()
 	h := maps.Clone(j.request.Header)
 	message.Strip(h)
@@ -212,7 +220,8 @@
 	if r.Dialled {
 		e.Meter.Dialled()
 	}
-	return r, took
+	crashed := r.Died && e.crashed(c.Target.Address)
+	return attempt{choice: c, result: r, took: took, crashed: crashed}
 }
 
 // crashed reports whether a target whose connection broke refuses another.
@@ -226,27 +235,37 @@
 }
 
 // report takes in what became of a request on a target.
-func (e *Edge) report(ctx context.Context, j *job, c placement.Choice, r exchange.Result, took time.Duration, crashed bool, version string) {
+func (e *Edge) report(ctx context.Context, j *job, t attempt) {
+	r, target := t.result, t.choice.Target
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.Timer.Now()
-	left := r.Answer == nil && ctx.Err() != nil
-	failed := r.Verdict != lacewingramp.NotRun && !left && (r.Answer == nil || r.Answer.Status >= http.StatusInternalServerError)
+	cancelled := r.Answer == nil && ctx.Err() != nil
+	ran := r.Verdict != lacewingramp.NotRun && !cancelled
+	failed := ran && (r.Answer == nil || r.Answer.Status >= http.StatusInternalServerError)
 	e.place.Done(now, placement.Report{
-		Target: c.Target.Name, Unreachable: r.Unreachable || crashed, Failed: failed,
+		Target: target.Name, Unreachable: r.Unreachable || t.crashed, Failed: failed,
 		Shed: r.Sign.NotRun, Gone: r.Sign.Elsewhere, Load: r.Sign.Load, Cold: r.Sign.Cold,
 	})
-	if r.Verdict != lacewingramp.NotRun && !left {
-		if c.Cold {
-			took = 0
-		}
-		e.rollouts.Observe(j.route.Name, j.service, version, failed, took)
+	if ran {
+		e.rollouts.Observe(j.route.Name, j.service, target.Version, failed, t.judged())
+	}
+	well := !failed && !r.Unreachable && !r.Sign.Elsewhere && !cancelled
+	if well || !e.lines.Allow(now, "attempt") {
+		return
 	}
-	if (failed || r.Unreachable || r.Sign.Elsewhere || left) && e.lines.Allow(now, "attempt") {
-		e.Log.Info().Str("id", j.call.ID).Str("target", c.Target.Name).Str("verdict", r.Verdict.String()).
-			AnErr("error", r.Err).Int("status", status(r.Answer)).Dur("took", took).Bool("crashed", crashed).
-			Bool("cancelled", left).Msg("a target did not answer well")
+	e.Log.Info().Str("id", j.call.ID).Str("target", target.Name).Str("verdict", r.Verdict.String()).
+		AnErr("error", r.Err).Int("status", status(r.Answer)).Dur("took", t.took).Bool("crashed", t.crashed).
+		Bool("cancelled", cancelled).Msg("a target did not answer well")
+}
+
+// judged is the time by which a version is judged: a cold target is slow
+// whatever its version.
+func (t attempt) judged() time.Duration {
+	if t.choice.Cold {
+		return 0
 	}
+	return t.took
 }
 
 func status(a *message.Answer) int {
--- a/internal/operator/command/cmd_settings.go
+++ b/internal/operator/command/cmd_settings.go
@@ -35,7 +35,6 @@
 		{"peer", fmt.Sprintf("%s:%d", s.IP, s.PeerPort), "address for other instances"},
 		{"store", s.Store, "address of the platform's store"},
 		{"bootstrap", s.Bootstrap, "whether the whole deployment starts for the first time"},
-		{"heartbeat", s.Heartbeat, "time in which targets renew their listings"},
 		{"stop", s.Stop, "time that a stop may take"},
 		{"lookup-life", s.LookupLife, "longest time for which callers may keep a look-up"},
 		{"retry-ratio", s.RetryRatio, "repeats that a request allows, over all instances"},
