--- a/internal/config/mirror/mirror.go
+++ b/internal/config/mirror/mirror.go
@@ -73,10 +73,10 @@
 		}
 	}
 	sort.SliceStable(changes, func(i, j int) bool { return changes[i].Revision < changes[j].Revision })
+	before := m.revision
 	fresh := m.apply(changes)
 	m.revision = max(m.revision, revision)
-	// What was written and deleted between is not known.
-	m.log, m.floor = nil, m.revision
+	m.note(fresh, before)
 	m.wake()
 	return fresh
 }
@@ -89,11 +89,34 @@
 	if len(fresh) > 0 {
 		m.wake()
 	}
+	m.trim()
+	return fresh
+}
+
+// note keeps what a snapshot has changed for followers: it brings those that
+// were as far as this mirror to where it is now, though not over what was
+// written and deleted between. The first snapshot, and one that goes back
+// behind the log, begin a new log.
+func (m *Mirror) note(fresh []lacewingramp.Change, before int64) {
+	for _, c := range fresh {
+		if before == 0 || c.Revision <= before {
+			m.log, m.floor = nil, m.revision
+			return
+		}
+	}
+	if before == 0 {
+		m.floor = m.revision
+	}
+	m.log = append(m.log, fresh...)
+	m.trim()
+}
+
+// trim keeps the log within its size.
+func (m *Mirror) trim() {
 	if over := len(m.log) - logMost; over > 0 {
 		m.floor = m.log[over-1].Revision
 		m.log = append([]lacewingramp.Change(nil), m.log[over:]...)
 	}
-	return fresh
 }
 
 func (m *Mirror) apply(changes []lacewingramp.Change) []lacewingramp.Change {
--- a/internal/config/mirror/mirror_test.go
+++ b/internal/config/mirror/mirror_test.go
@@ -42,8 +42,9 @@
 		changes, states := history(n)
 		for seed := range uint64(200) {
 			r := rand.New(rand.NewPCG(seed, 7))
-			var m mirror.Mirror
+			var m, follower mirror.Mirror
 			m.Reset(states[3], 3)
+			follower.Reset(states[3], 3)
 			last := int64(0)
 			for m.Revision() < n {
 				switch r.IntN(3) {
@@ -59,10 +60,28 @@
 				last = m.Revision()
 				items, _ := m.Snapshot()
 				gomega.Expect(items).To(gomega.ConsistOf(states[last]), "seed %d revision %d", seed, last)
+				changes, revision, ok := m.Since(follower.Revision())
+				gomega.Expect(ok).To(gomega.BeTrue())
+				follower.Apply(changes, revision)
+				items, _ = follower.Snapshot()
+				gomega.Expect(items).To(gomega.ConsistOf(states[last]), "follower, seed %d revision %d", seed, last)
 			}
 		}
 	})
 
+	ginkgo.It("tells followers what a snapshot has changed, so that not all read everything", func() {
+		_, states := history(60)
+		var m, follower mirror.Mirror
+		m.Reset(states[10], 10)
+		follower.Reset(states[10], 10)
+		m.Reset(states[50], 50)
+		all, revision, ok := m.Since(10)
+		gomega.Expect(ok).To(gomega.BeTrue())
+		follower.Apply(all, revision)
+		items, _ := follower.Snapshot()
+		gomega.Expect(items).To(gomega.ConsistOf(states[50]))
+	})
+
 	ginkgo.It("tells followers all changes, or that it does not have them", func() {
 		changes, states := history(60)
 		var m, follower mirror.Mirror
