--- a/internal/entry/edge/edge_answer.go
+++ b/internal/entry/edge/edge_answer.go
@@ -17,7 +17,7 @@
 )
 
 // fullRetry is when a caller that found all targets full may come back.
-func fullRetry(*job) time.Duration {
+func fullRetry() time.Duration {
 	return retryLeast + rand.N(retrySpread)
 }
 
--- a/internal/entry/edge/edge_beat.go
+++ b/internal/entry/edge/edge_beat.go
@@ -37,14 +37,15 @@
 	e.sweepLapsed(now)
 	e.tickRollouts(ctx, now)
 	own, others := e.roll.Turn()
-	near, far := e.heartbeat(now), e.heartbeat(now)
+	near := e.heartbeat(now)
+	far := *near
 	near.Demand = compact(e.quota.Demand(now))
 	region, size := e.quota.Sum(now, e.nearNames(now))
 	far.Demand, far.Sum = compact(region), size
 	e.mu.Unlock()
 	e.client.Sweep(now)
 	e.logOmitted()
-	if err := errors.Join(s.Send(near, own), s.Send(far, others)); err != nil {
+	if err := errors.Join(s.Send(near, own), s.Send(&far, others)); err != nil {
 		e.Log.Error().Err(err).Msg("could not send a heartbeat")
 	}
 	e.catchUp(ctx, now)
--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -342,5 +342,5 @@
 	if j.full || j.sent > 0 {
 		cause, detail = lacewingramp.CauseSlots, "all targets are full"
 	}
-	return e.refuse(j, http.StatusServiceUnavailable, cause, fullRetry(j), detail)
+	return e.refuse(j, http.StatusServiceUnavailable, cause, fullRetry(), detail)
 }
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -130,9 +130,7 @@
 	t.Listing = l
 	t.region = p.Regions[l.Domain]
 	t.gone = false
-	if l.Cold > 0 {
-		t.coldUntil = now.Add(l.Cold + coldMargin)
-	}
+	t.setCold(now, l.Cold)
 	return left
 }
 
@@ -258,9 +256,7 @@
 		t.load, t.loadAt, t.loadOwn = *r.Load, now, t.inflight
 		t.press(now, float64(r.Load.Running+r.Load.Waiting)/float64(max(1, t.Slots)))
 	}
-	if r.Cold > 0 {
-		t.coldUntil = now.Add(r.Cold + coldMargin)
-	}
+	t.setCold(now, r.Cold)
 	if r.Shed {
 		t.load.Running, t.load.Waiting = t.Slots, t.Slots
 		t.loadAt, t.loadOwn = now, t.inflight
--- a/internal/steer/placement/placement_cold.go
+++ b/internal/steer/placement/placement_cold.go
@@ -28,6 +28,13 @@
 	}
 }
 
+// setCold takes in how long a target says that it stays cold.
+func (t *target) setCold(now time.Time, cold time.Duration) {
+	if cold > 0 {
+		t.coldUntil = now.Add(cold + coldMargin)
+	}
+}
+
 // takeCold asks for one start at a cold target, which one instance keeps the
 // rate of.
 func (p *Placer) takeCold(now time.Time, t *target) bool {
@@ -88,9 +95,7 @@
 	}
 	t.known = true
 	t.coldUntil = time.Time{}
-	if r.Cold > 0 {
-		t.coldUntil = now.Add(r.Cold + coldMargin)
-	}
+	t.setCold(now, r.Cold)
 	if r.Load != nil {
 		t.load, t.loadAt, t.loadOwn = *r.Load, now, t.inflight
 	}
