--- a/GNUmakefile
+++ b/GNUmakefile
@@ -2,7 +2,14 @@
 LINT = $(GO) run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.12.2
 STRINGER = $(GO) run golang.org/x/tools/cmd/stringer@v0.52.0
 
-.PHONY: all build run test check red lint fmt generate bench slopes clean
+# BENCH is the users' bench, SITE one of their site files, WHY a line for the
+# journal and DAYS how many days are hunted.
+BENCH ?= fleetbench
+SITE ?=
+WHY ?= run by hand
+DAYS ?= 40
+
+.PHONY: all build run test check red lint fmt generate bench slopes clean platform calm score hunt
 
 all: build
 
@@ -35,5 +42,17 @@
 slopes:
 	$(GO) run ./cmd/slopes
 
+platform:
+	$(GO) build -ldflags=-linkmode=external -o target/ ./cmd/...
+
+calm:
+	$(BENCH) run $(SITE) quiet-1 --why "$(WHY)"
+
+score:
+	$(BENCH) score $(SITE) --why "$(WHY)"
+
+hunt:
+	$(BENCH) hunt $(SITE) --days $(DAYS) --why "$(WHY)"
+
 clean:
-	rm -rf bin
+	rm -rf bin target
