Carry demand in heartbeats by place, not by name

Change: a row is the distance in the order of the customers' names and a rate in two bytes; a checksum over the names tells whether both have the same. A test holds a region's demand to four bytes a customer; it was 14.

--- a/heartbeat.go
+++ b/heartbeat.go
@@ -11,16 +11,16 @@
 // together. Marks, Evidence and Outcomes are those of the request prints and
 // rollouts at hand.
 type Heartbeat struct {
-	Endpoint Endpoint           `cbor:"1,keyasint"`
-	Ready    bool               `cbor:"2,keyasint,omitempty"`
-	Revision int64              `cbor:"3,keyasint"`
-	Demand   map[string]float32 `cbor:"4,keyasint,omitempty"`
-	Marks    []Mark             `cbor:"5,keyasint,omitempty"`
-	Evidence []Evidence         `cbor:"6,keyasint,omitempty"`
-	Outcomes []Outcome          `cbor:"7,keyasint,omitempty"`
-	Direct   bool               `cbor:"8,keyasint,omitempty"`
-	Watches  bool               `cbor:"9,keyasint,omitempty"`
-	Sum      int                `cbor:"10,keyasint,omitempty"`
+	Endpoint Endpoint   `cbor:"1,keyasint"`
+	Ready    bool       `cbor:"2,keyasint,omitempty"`
+	Revision int64      `cbor:"3,keyasint"`
+	Demand   Demand     `cbor:"4,keyasint"`
+	Marks    []Mark     `cbor:"5,keyasint,omitempty"`
+	Evidence []Evidence `cbor:"6,keyasint,omitempty"`
+	Outcomes []Outcome  `cbor:"7,keyasint,omitempty"`
+	Direct   bool       `cbor:"8,keyasint,omitempty"`
+	Watches  bool       `cbor:"9,keyasint,omitempty"`
+	Sum      int        `cbor:"10,keyasint,omitempty"`
 }
 
 // Check reports a heartbeat that no instance sends.
@@ -28,10 +28,5 @@
 	if h.Revision < 0 {
 		return &NameError{Kind: "revision", Name: h.Endpoint.Name}
 	}
-	for name, d := range h.Demand {
-		if !(d >= 0) {
-			return &NameError{Kind: "demand", Name: name}
-		}
-	}
 	return h.Endpoint.Check()
 }
--- a/internal/entry/edge/edge_beat.go
+++ b/internal/entry/edge/edge_beat.go
@@ -7,7 +7,6 @@
 	"github.com/go-faster/errors"
 
 	"lacewingramp.example/lacewingramp"
-	"lacewingramp.example/lacewingramp/internal/limit/share"
 	"lacewingramp.example/lacewingramp/internal/peer/heartbeat"
 )
 
@@ -39,9 +38,9 @@
 	own, others := e.roll.Turn()
 	near := e.heartbeat(now)
 	far := *near
-	near.Demand = compact(e.quota.Demand(now))
+	near.Demand = e.quota.Encode(e.quota.Demand(now))
 	region, size := e.quota.Sum(now, e.nearNames(now))
-	far.Demand, far.Sum = compact(region), size
+	far.Demand, far.Sum = e.quota.Encode(region), size
 	e.mu.Unlock()
 	e.client.Sweep(now)
 	e.logOmitted()
@@ -74,18 +73,6 @@
 	}
 }
 
-// compact returns demand in the form in which it is sent.
-func compact(d share.Demand) map[string]float32 {
-	if len(d) == 0 {
-		return nil
-	}
-	all := make(map[string]float32, len(d))
-	for name, v := range d {
-		all[name] = float32(v)
-	}
-	return all
-}
-
 // nearNames lists the other instances of the region that are alive.
 func (e *Edge) nearNames(now time.Time) []string {
 	var all []string
@@ -111,17 +98,23 @@
 	if h.Endpoint.Name == e.Name {
 		return
 	}
-	d := make(share.Demand, len(h.Demand))
-	for name, v := range h.Demand {
-		d[name] = float64(v)
-	}
-	if e.roll.Near(h.Endpoint) {
+	e.hearDemand(h)
+	e.ward.Merge(now, h.Marks)
+	e.rollouts.Hear(h.Evidence, h.Outcomes)
+}
+
+// hearDemand takes in what the callers of another instance, or of another
+// region, ask. While the two have tables with other customers, the last that
+// was heard stays.
+func (e *Edge) hearDemand(h *lacewingramp.Heartbeat) {
+	d, ok := e.quota.Decode(h.Demand)
+	switch {
+	case !ok:
+	case e.roll.Near(h.Endpoint):
 		e.quota.Hear(h.Endpoint.Name, 1, d)
-	} else {
+	default:
 		e.quota.Hear(regionMark+e.Regions[h.Endpoint.Domain], max(1, h.Sum), d)
 	}
-	e.ward.Merge(now, h.Marks)
-	e.rollouts.Hear(h.Evidence, h.Outcomes)
 }
 
 // register keeps this instance listed in the store until ctx ends.
--- a/internal/limit/share/share.go
+++ b/internal/limit/share/share.go
@@ -60,6 +60,7 @@
 // Book holds one instance's parts of all limits. Its zero value is ready.
 type Book struct {
 	accounts  map[string]*account
+	order     order
 	peers     map[string]group
 	instances int
 }
@@ -86,6 +87,7 @@
 // far as they fit.
 func (b *Book) Configure(now time.Time, limits map[string]lacewingramp.Limit) {
 	known := b.accounts
+	b.order = newOrder(limits)
 	b.accounts = make(map[string]*account, len(limits))
 	for name, l := range limits {
 		a, ok := known[name]
--- /dev/null
+++ b/internal/limit/share/share_wire_test.go
@@ -0,0 +1,88 @@
+package share_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/limit/share"
+)
+
+// bookOf returns a book with a limit for each of n customers.
+func bookOf(n int) *share.Book {
+	limits := make(map[string]lacewingramp.Limit)
+	for i := range n {
+		limits[fmt.Sprintf("customer%02d", i)] = lacewingramp.Limit{Rate: 100, Burst: 100}
+	}
+	b := &share.Book{}
+	b.Configure(start, limits)
+	return b
+}
+
+var _ = ginkgo.Describe("demand in a heartbeat", func() {
+	const customers = 83
+
+	ginkgo.It("comes back within half a percent, whoever asks", func() {
+		b := bookOf(customers)
+		r := rand.New(rand.NewPCG(1, 1))
+		for range 500 {
+			d := make(share.Demand)
+			for i := range customers {
+				if r.IntN(3) > 0 {
+					d[fmt.Sprintf("customer%02d", i)] = r.ExpFloat64() * 100
+				}
+			}
+			got, ok := b.Decode(b.Encode(d))
+			gomega.Expect(ok).To(gomega.BeTrue())
+			for name, v := range d {
+				gomega.Expect(got[name]).To(gomega.BeNumerically("~", v, v/200))
+			}
+			gomega.Expect(len(got)).To(gomega.BeNumerically("<=", len(d)))
+		}
+	})
+
+	ginkgo.It("of a whole region takes four bytes a customer at most", func() {
+		b := bookOf(customers)
+		d := make(share.Demand)
+		for i := range customers {
+			d[fmt.Sprintf("customer%02d", i)] = float64(i + 1)
+		}
+		raw, err := cbor.Marshal(lacewingramp.Heartbeat{Demand: b.Encode(d)})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(len(raw)).To(gomega.BeNumerically("<=", 4*customers))
+	})
+
+	ginkgo.It("is not taken from an instance whose table has other customers", func() {
+		d := share.Demand{"customer01": 5}
+		_, ok := bookOf(customers + 1).Decode(bookOf(customers).Encode(d))
+		gomega.Expect(ok).To(gomega.BeFalse())
+	})
+
+	ginkgo.It("is passed over where it is no demand", func() {
+		b := bookOf(customers)
+		names := b.Encode(nil).Names
+		r := rand.New(rand.NewPCG(2, 2))
+		for range 5000 {
+			rows := make([]byte, r.IntN(40))
+			for i := range rows {
+				rows[i] = byte(r.Uint32())
+			}
+			got, ok := b.Decode(lacewingramp.Demand{Names: names, Rows: rows})
+			if !ok {
+				continue
+			}
+			for name, v := range got {
+				gomega.Expect(name).To(gomega.HavePrefix("customer"))
+				gomega.Expect(v).To(gomega.BeNumerically(">=", 0))
+			}
+		}
+		_, ok := b.Decode(lacewingramp.Demand{Names: names, Rows: []byte{1, 0x40}})
+		gomega.Expect(ok).To(gomega.BeFalse())
+		_, ok = b.Decode(lacewingramp.Demand{Names: names, Rows: []byte{customers + 1, 0x40, 0}})
+		gomega.Expect(ok).To(gomega.BeFalse())
+	})
+})
