Tell eight crash marks a heartbeat at most

Change: the four newest marks and four of the others by turns; short field names in what goes by datagram. Tests: a mass crash is told whole by turns, a new mark in the next round.

--- a/digest.go
+++ b/digest.go
@@ -8,12 +8,12 @@
 // Born is the moment of its start in milliseconds since 1970, where two lives
 // share an address.
 type Endpoint struct {
-	Name    string `json:"name"`
-	Domain  string `json:"domain"`
-	Peer    string `json:"peer"`
-	Caller  string `json:"caller"`
-	Leaving bool   `json:"leaving,omitempty"`
-	Born    int64  `json:"born,omitempty"`
+	Name    string `json:"name" cbor:"1,keyasint"`
+	Domain  string `json:"domain" cbor:"2,keyasint"`
+	Peer    string `json:"peer" cbor:"3,keyasint"`
+	Caller  string `json:"caller" cbor:"4,keyasint"`
+	Leaving bool   `json:"leaving,omitempty" cbor:"5,keyasint,omitempty"`
+	Born    int64  `json:"born,omitempty" cbor:"6,keyasint,omitempty"`
 }
 
 // Check reports an endpoint that can not be reached.
@@ -42,31 +42,31 @@
 // Mark says how many targets died while they ran the request with this print,
 // as seen by one instance.
 type Mark struct {
-	Print    uint64 `json:"print"`
-	Instance string `json:"instance"`
-	Deaths   int    `json:"deaths"`
+	Print    uint64 `json:"print" cbor:"1,keyasint"`
+	Instance string `json:"instance" cbor:"2,keyasint"`
+	Deaths   int    `json:"deaths" cbor:"3,keyasint"`
 }
 
 // Evidence is what one instance has seen of one version on one route in one
 // rollout. All numbers only rise, so that reports merge by their maximum.
 type Evidence struct {
-	Instance string `json:"instance"`
-	Rollout  string `json:"rollout"`
-	Service  string `json:"service"`
-	Route    string `json:"route"`
-	Version  string `json:"version"`
-	Count    int64  `json:"count"`
-	Failures int64  `json:"failures"`
-	Slow     int64  `json:"slow"`
+	Instance string `json:"instance" cbor:"1,keyasint"`
+	Rollout  string `json:"rollout" cbor:"2,keyasint"`
+	Service  string `json:"service" cbor:"3,keyasint"`
+	Route    string `json:"route" cbor:"4,keyasint"`
+	Version  string `json:"version" cbor:"5,keyasint"`
+	Count    int64  `json:"count" cbor:"6,keyasint"`
+	Failures int64  `json:"failures" cbor:"7,keyasint"`
+	Slow     int64  `json:"slow" cbor:"8,keyasint"`
 }
 
 // Outcome is the end of a rollout, written once.
 type Outcome struct {
-	Rollout string    `json:"rollout"`
-	Start   time.Time `json:"start"`
-	State   string    `json:"state"`
-	Reason  string    `json:"reason"`
-	Moment  time.Time `json:"moment"`
+	Rollout string    `json:"rollout" cbor:"1,keyasint"`
+	Start   time.Time `json:"start" cbor:"2,keyasint"`
+	State   string    `json:"state" cbor:"3,keyasint"`
+	Reason  string    `json:"reason" cbor:"4,keyasint"`
+	Moment  time.Time `json:"moment" cbor:"5,keyasint"`
 }
 
 // Part is the part of every limit that a failure domain uses: Customers of
--- a/internal/call/poison/poison.go
+++ b/internal/call/poison/poison.go
@@ -31,8 +31,13 @@
 	Most = 2
 	// Time is how long a print is remembered after its last death.
 	Time = 10 * time.Minute
-	// marksMost is how many marks are kept and sent.
+	// marksMost is how many prints are remembered.
 	marksMost = 64
+	// newsMost is how many of the marks that were learned last are told in a
+	// round, and turnMost how many of all marks by turns: an instance that has
+	// just started learns the older ones from those.
+	newsMost = 4
+	turnMost = 4
 )
 
 // Print returns the print of a request.
@@ -52,8 +57,12 @@
 
 	marks   map[uint64]*mark
 	running map[uint64]int
+	// turn counts the marks that have been told by turns.
+	turn int
 }
 
+// mark is what is known of a print: its deaths by instance, and when the last
+// was seen or heard of.
 type mark struct {
 	deaths map[string]int
 	last   time.Time
@@ -156,6 +165,24 @@
 	return all
 }
 
+// Told lists the marks for the next heartbeat: the newest, and some of the
+// others by turns. So a heartbeat stays small after a failure that has taken
+// many targets, with all that ran on them.
+func (w *Ward) Told(now time.Time) []lacewingramp.Mark {
+	all := w.Marks(now)
+	if len(all) <= newsMost+turnMost {
+		return all
+	}
+	sort.SliceStable(all, func(i, j int) bool { return w.marks[all[i].Print].last.After(w.marks[all[j].Print].last) })
+	told := all[:newsMost:newsMost]
+	others := all[newsMost:]
+	for range turnMost {
+		w.turn = (w.turn + 1) % len(others)
+		told = append(told, others[w.turn])
+	}
+	return told
+}
+
 // Merge takes in the marks of another instance.
 func (w *Ward) Merge(now time.Time, marks []lacewingramp.Mark) {
 	for _, k := range marks {
--- a/internal/call/poison/poison_test.go
+++ b/internal/call/poison/poison_test.go
@@ -44,4 +44,29 @@
 		}
 		gomega.Expect(len(w.Marks(now))).To(gomega.Equal(marksMost))
 	})
+
+	ginkgo.It("tells a few marks at a time after many targets have died at once, and all of them by turns", func() {
+		w, fresh := Ward{Instance: "a"}, Ward{Instance: "b"}
+		for p := range uint64(marksMost) {
+			w.Enter(now, p)
+			w.Leave(now.Add(time.Duration(p)), p, true)
+		}
+		for range marksMost / turnMost {
+			told := w.Told(now)
+			gomega.Expect(len(told)).To(gomega.BeNumerically("<=", newsMost+turnMost))
+			fresh.Merge(now, told)
+		}
+		gomega.Expect(fresh.Marks(now)).To(gomega.Equal(w.Marks(now)))
+	})
+
+	ginkgo.It("tells the mark of a request that crashes one target after another in the next round", func() {
+		w := Ward{Instance: "a"}
+		for p := range uint64(marksMost) {
+			w.Enter(now, p)
+			w.Leave(now, p, true)
+		}
+		w.Enter(now, 1000)
+		w.Leave(now.Add(time.Second), 1000, true)
+		gomega.Expect(w.Told(now)).To(gomega.ContainElement(gomega.HaveField("Print", uint64(1000))))
+	})
 })
--- a/internal/entry/edge/edge_beat.go
+++ b/internal/entry/edge/edge_beat.go
@@ -69,7 +69,7 @@
 	return &lacewingramp.Heartbeat{
 		Endpoint: self, Ready: e.Ready(), Revision: e.mirror.Revision(),
 		Direct: !e.store.lost, Watches: e.watches(now),
-		Marks: e.ward.Marks(now), Evidence: e.rollouts.Evidence(), Outcomes: e.rollouts.Outcomes(),
+		Marks: e.ward.Told(now), Evidence: e.rollouts.Evidence(), Outcomes: e.rollouts.Outcomes(),
 	}
 }
 
