Hold requests at a start for the table, and for targets that may be cold

The log of all instances: some 2,900 requests refused as no table was in force (it comes 0.41 s after the start in the middle, 0.61 s at most) and 3,200 as the target of their object had not been asked whether it is cold: only 64 to 256 targets of the own region were, and 70 in 100 of one region's objects live in others. A refused caller comes back once, to find the same. Ruled out: listings that lapsed, full targets (none had been sent anything). Change: a request waits until the table is there, in the first second of the process; after that it is refused at once as before. A target that may have become cold unseen is asked when the first request is to go there, and requests wait 150 ms for it at most; one that is silent is passed over. The round of health checks at a start is gone. Tests: a request that comes before the table is answered (503 without the change); a silent target is passed over and its objects are served elsewhere.

--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -99,6 +99,9 @@
 	Parts
 
 	routes atomic.Pointer[routing.Map]
+	// tabled is closed when the first table is in force.
+	tabled chan struct{}
+	begun  time.Time
 	ready  atomic.Bool
 	ending atomic.Bool
 
@@ -118,14 +121,14 @@
 	splits   map[string]*split
 	roll     heartbeat.Roll
 	lapsed   map[string]time.Time
-	probed   map[string]bool
+	probes   map[string]*probe
 	store    storeState
 }
 
 // New returns an instance.
 func New(s Settings, p Parts) *Edge {
 	now := p.Timer.Now()
-	e := &Edge{Settings: s, Parts: p}
+	e := &Edge{Settings: s, Parts: p, tabled: make(chan struct{}), begun: now}
 	e.self = lacewingramp.Endpoint{
 		Name: s.Name, Domain: s.Domain, Peer: s.Peer, Caller: s.Callers, Born: now.UnixMilli(),
 	}
@@ -142,7 +145,7 @@
 	e.orders = make(map[string]*order)
 	e.splits = make(map[string]*split)
 	e.lapsed = make(map[string]time.Time)
-	e.probed = make(map[string]bool)
+	e.probes = make(map[string]*probe)
 	e.roll = heartbeat.Roll{Self: s.Name, Region: s.Region, Regions: s.Regions}
 	e.store.reopen = func() {}
 	return e
--- a/internal/entry/edge/edge_notice.go
+++ b/internal/entry/edge/edge_notice.go
@@ -19,7 +19,6 @@
 		}
 		e.notice(now, &n)
 	}
-	e.probeUncertain(now)
 }
 
 // unreadable drops the target of a listing that can not be read.
@@ -60,6 +59,9 @@
 	e.place.Configure(n.Table.Services)
 	e.quota.Configure(now, m.Limits())
 	e.routes.Store(m)
+	if old == nil {
+		close(e.tabled)
+	}
 	e.ready.Store(true)
 	e.Log.Info().Int64("table", n.Table.Revision).Int64("revision", n.Revision).Int("routes", len(n.Table.Routes)).
 		Int("customers", len(n.Table.Customers)).Msg("table in force")
--- a/internal/entry/edge/edge_probe.go
+++ b/internal/entry/edge/edge_probe.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"lacewingramp.example/lacewingramp"
@@ -16,53 +15,83 @@
 	// probeTimeout bounds a health check: a target that is busy answers late,
 	// and counts as uncertain meanwhile.
 	probeTimeout = time.Second
-	// probesMost is how many targets one instance asks at its start. Where there
-	// are more, it asks those of its own region, up to regionProbesMost, and the
-	// others are left to prove themselves by their listings.
-	probesMost       = 64
-	regionProbesMost = 256
+	// probePatience is how long requests wait for a health check before they go
+	// elsewhere: it covers the way to another region and back.
+	probePatience = 150 * time.Millisecond
 )
 
-// probeUncertain asks the targets that may be cold whether they are. A process
-// that takes the place of another does not know, as listings may be old.
-func (e *Edge) probeUncertain(now time.Time) {
-	m := e.routes.Load()
-	if m == nil {
-		return
-	}
-	for _, t := range e.toProbe(e.place.Uncertain(now)) {
-		s, ok := m.Service(t.Service)
-		if !ok || s.Health == "" || e.probed[t.Name] {
-			continue
-		}
-		e.probed[t.Name] = true
-		go e.probe(t, s.Health)
+// probe is a health check under way. Done is closed when it is over.
+type probe struct {
+	done chan struct{}
+}
+
+// confirm asks a target whether it is cold, for a request that is to go there,
+// and returns when it has answered or should not be waited for any longer. A
+// process that takes the place of another does not know, as listings may be
+// old. Requests that come meanwhile wait for the same answer.
+func (e *Edge) confirm(ctx context.Context, t *lacewingramp.Target) {
+	p := e.probing(t)
+	late := time.NewTimer(probePatience)
+	defer late.Stop()
+	select {
+	case <-p.done:
+	case <-ctx.Done():
+	case <-late.C:
+		e.mu.Lock()
+		e.place.Silent(t.Name)
+		e.mu.Unlock()
 	}
 }
 
-// toProbe picks the targets that are asked.
-func (e *Edge) toProbe(all []lacewingramp.Target) []lacewingramp.Target {
-	if len(all) <= probesMost {
-		return all
+// probing returns the health check of a target that is under way, or starts one.
+func (e *Edge) probing(t *lacewingramp.Target) *probe {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if p, ok := e.probes[t.Name]; ok {
+		return p
 	}
-	near := slices.DeleteFunc(all, func(t lacewingramp.Target) bool { return e.Regions[t.Domain] != e.Region })
-	return near[:min(len(near), regionProbesMost)]
+	p := &probe{done: make(chan struct{})}
+	e.probes[t.Name] = p
+	go func() {
+		e.probe(t)
+		close(p.done)
+	}()
+	return p
 }
 
 // probe takes in a target's answer to a health check. Without one the target
 // stays uncertain.
-func (e *Edge) probe(t lacewingramp.Target, path string) {
+func (e *Edge) probe(t *lacewingramp.Target) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	r := e.client.Do(ctx, exchange.Order{
-		Address: t.Address,
-		Request: &message.Request{Method: http.MethodGet, URI: path, Host: t.Address},
-	})
+	var r exchange.Result
+	if path := e.healthPath(t.Service); path != "" {
+		r = e.client.Do(ctx, exchange.Order{
+			Address: t.Address,
+			Request: &message.Request{Method: http.MethodGet, URI: path, Host: t.Address},
+		})
+	}
 	ok := r.Answer != nil && r.Answer.Status == http.StatusOK && r.Sign.Target == t.Name
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	delete(e.probes, t.Name)
 	if ok {
 		e.place.Probed(e.Timer.Now(), placement.Report{Target: t.Name, Cold: r.Sign.Cold, Load: r.Sign.Load})
+	} else {
+		e.place.Silent(t.Name)
 	}
 	e.Log.Info().Str("target", t.Name).Bool("well", ok).Dur("cold", r.Sign.Cold).AnErr("error", r.Err).Msg("asked a target for its health")
 }
+
+// healthPath returns the path of a service's health checks, if it has any.
+func (e *Edge) healthPath(service string) string {
+	m := e.routes.Load()
+	if m == nil {
+		return ""
+	}
+	s, ok := m.Service(service)
+	if !ok {
+		return ""
+	}
+	return s.Health
+}
--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -67,6 +67,7 @@
 // handle answers one request of a caller.
 func (e *Edge) handle(ctx context.Context, r *message.Request, begun time.Time) *message.Answer {
 	j := &job{request: r, begun: begun}
+	e.awaitTable(ctx)
 	if a := e.admit(j); a != nil {
 		return a
 	}
@@ -105,8 +106,33 @@
 	return e.take(j)
 }
 
-// tableRetry is when a caller may come back to an instance without a table.
-const tableRetry = 300 * time.Millisecond
+const (
+	// tableRetry is when a caller may come back to an instance without a table.
+	tableRetry = 300 * time.Millisecond
+	// startTime is how long after its start an instance is about to have a table:
+	// it takes some tenths of a second to read all keys. One that has none by
+	// then may not get one soon.
+	startTime = time.Second
+)
+
+// awaitTable holds a request that comes while the instance starts, as long as
+// it is about to have a table.
+func (e *Edge) awaitTable(ctx context.Context) {
+	if e.routes.Load() != nil {
+		return
+	}
+	left := e.begun.Add(startTime).Sub(e.Timer.Now())
+	if left <= 0 {
+		return
+	}
+	t := time.NewTimer(left)
+	defer t.Stop()
+	select {
+	case <-e.tabled:
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
 
 // take takes the request's quota and checks it against those that crash their
 // targets.
@@ -159,6 +185,10 @@
 		if !ok {
 			break
 		}
+		if choice.Ask {
+			e.confirm(ctx, choice.Target)
+			continue
+		}
 		t := e.send(ctx, j, choice)
 		died = died || t.crashed
 		e.report(ctx, j, t)
@@ -192,6 +222,9 @@
 		j.full = choice.Full
 		return choice, false
 	}
+	if choice.Ask {
+		return choice, true
+	}
 	if j.sent > 0 && !e.budget.Take(now, j.service, e.roll.Count(now)) {
 		e.place.Cancel(choice.Target.Name)
 		if e.lines.Allow(now, "budget") {
--- a/internal/entry/edge/edge_test.go
+++ b/internal/entry/edge/edge_test.go
@@ -284,3 +284,24 @@
 		}
 	})
 })
+
+var _ = ginkgo.Describe("an instance that starts", func() {
+	ginkgo.It("holds a request until it has read the table", func() {
+		w := newWorld(3)
+		w.store.put("table/now", table(1))
+		w.store.down.Store(true)
+		e := w.start(w.store)
+		var r reply
+		var wait sync.WaitGroup
+		wait.Go(func() {
+			for r.status == 0 {
+				r = w.ask(0, "/read/1", "andes-key", "1")
+			}
+		})
+		time.Sleep(100 * time.Millisecond)
+		gomega.Expect(e.Ready()).To(gomega.BeFalse())
+		w.store.down.Store(false)
+		wait.Wait()
+		gomega.Expect(r.status).To(gomega.Equal(http.StatusOK))
+	})
+})
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -50,12 +50,15 @@
 }
 
 // Choice is a target, or the reason why there is none: all are Full, or there
-// are none at all. Rank is its place in the object's order of targets.
+// are none at all. Rank is its place in the object's order of targets. Ask says
+// that the target is to be asked first whether it is cold, and the choice made
+// again when that is over: nothing has been counted yet.
 type Choice struct {
 	Target *lacewingramp.Target
 	Full   bool
 	Rank   int
 	Cold   bool
+	Ask    bool
 }
 
 // Report tells what became of a request on a target.
@@ -204,7 +207,7 @@
 	if len(all) == 0 {
 		return Choice{}
 	}
-	all = near(now, all)
+	all = p.near(now, all)
 	p.swap(now, &q, all)
 	if c, ok := p.first(now, all, func(i int, t *target) bool {
 		return t.inflight < t.ownMost() && t.fill(now) < fillMost[min(i, len(fillMost)-1)] && !t.failing(now)
@@ -226,6 +229,10 @@
 		if !fits(i, t.target) {
 			continue
 		}
+		if p.doubtful(now, t.target) && !t.silent {
+			chosen := t.Target
+			return Choice{Target: &chosen, Rank: i, Ask: true}, true
+		}
 		cold := now.Before(t.coldUntil)
 		if !p.mayStart(now, t.target, cold) {
 			continue
--- a/internal/steer/placement/placement_cold.go
+++ b/internal/steer/placement/placement_cold.go
@@ -6,7 +6,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"lacewingramp.example/lacewingramp"
 	"lacewingramp.example/lacewingramp/internal/peer/duty"
 )
 
@@ -72,19 +71,10 @@
 	}
 }
 
-// Uncertain lists the targets of which this instance does not know whether
-// they are cold.
-func (p *Placer) Uncertain(now time.Time) []lacewingramp.Target {
-	var all []lacewingramp.Target
-	if now.Sub(p.Begun) >= uncertain {
-		return nil
-	}
-	for _, name := range p.Names() {
-		if t := p.targets[name]; !t.known && !t.Leaving {
-			all = append(all, t.Target)
-		}
-	}
-	return all
+// doubtful reports whether a target may have become cold before this instance's
+// start, unseen: its listing may be older than that.
+func (p *Placer) doubtful(now time.Time, t *target) bool {
+	return now.Sub(p.Begun) < uncertain && !t.known && !now.Before(t.coldUntil) && p.settings[t.Service].Coldrate > 0
 }
 
 // Probed takes in what a target said of itself when it was asked.
@@ -101,6 +91,14 @@
 	}
 }
 
+// Silent takes in that a target did not answer in time when it was asked. It
+// stays uncertain.
+func (p *Placer) Silent(name string) {
+	if t, ok := p.targets[name]; ok {
+		t.silent = true
+	}
+}
+
 // takeUncertain asks for one start at a target that may be cold, while any
 // instance may send there: each uses its part of the cold rate. The first
 // tokens differ from instance to instance, so that they do not all start at
--- a/internal/steer/placement/placement_order.go
+++ b/internal/steer/placement/placement_order.go
@@ -92,12 +92,12 @@
 }
 
 // near returns the targets that an object may go to: the first few that are
-// warm, and the cold ones before them. Further ones do not know the object, and
+// warm, and the cold or silent ones before them. Further ones do not know the object, and
 // would forget another for it.
-func near(now time.Time, all []ranked) []ranked {
+func (p *Placer) near(now time.Time, all []ranked) []ranked {
 	warm := 0
 	for i, t := range all {
-		if now.Before(t.coldUntil) {
+		if now.Before(t.coldUntil) || (t.silent && p.doubtful(now, t.target)) {
 			continue
 		}
 		if warm++; warm == spread {
--- a/internal/steer/placement/placement_target.go
+++ b/internal/steer/placement/placement_target.go
@@ -49,7 +49,9 @@
 	suspend   time.Duration
 	coldUntil time.Time
 	// known says that the listing was written after this instance's start.
-	known    bool
+	known bool
+	// silent says that the target did not answer when it was asked.
+	silent   bool
 	tokens   float64
 	tokensAt time.Time
 	gone     bool
--- a/internal/steer/placement/placement_test.go
+++ b/internal/steer/placement/placement_test.go
@@ -167,7 +167,7 @@
 	for i := range 1000 {
 		at := now.Add(time.Duration(i) * time.Millisecond)
 		for _, p := range all {
-			if c := p.Choose(at, ask(fmt.Sprint(i%40))); c.Target != nil {
+			if c := p.Choose(at, ask(fmt.Sprint(i%40))); c.Target != nil && !c.Ask {
 				most[c.Target.Name]++
 				p.Cancel(c.Target.Name)
 			}
@@ -228,6 +228,9 @@
 		for _, p := range all {
 			p.Begun = start
 			p.Members([]string{p.Self}, instances)
+			for i := range 4 {
+				p.Silent(fmt.Sprintf("t%d", i))
+			}
 		}
 		n := rush(start, all)
 		gomega.Expect(n).To(gomega.And(gomega.BeNumerically("<=", allowed), gomega.BeNumerically(">", 0)))
@@ -237,11 +240,39 @@
 		p := placer("edge-0", 1, 30)
 		p.Begun = start
 		p.Members([]string{"edge-0"}, instances)
-		gomega.Expect(p.Uncertain(start)).To(gomega.HaveLen(1))
+		c := p.Choose(start, ask("1"))
+		gomega.Expect(c.Ask).To(gomega.BeTrue())
+		gomega.Expect(c.Target.Name).To(gomega.Equal("t0"))
 		p.Probed(start, placement.Report{Target: "t0"})
-		gomega.Expect(p.Uncertain(start)).To(gomega.BeEmpty())
+		gomega.Expect(p.Choose(start, ask("1")).Ask).To(gomega.BeFalse())
 		gomega.Expect(rush(start, []*placement.Placer{p})).To(gomega.Equal(1000))
 	})
+
+	ginkgo.It("holds for one that did not answer, and its objects go to targets that did", func() {
+		p := placer("edge-0", 12, 30)
+		p.Begun = start
+		p.Members([]string{"edge-0"}, instances)
+		served := 0
+		for i := range 200 {
+			for {
+				c := p.Choose(start, ask(fmt.Sprint(i)))
+				if c.Target == nil {
+					break
+				}
+				if !c.Ask {
+					served++
+					p.Cancel(c.Target.Name)
+					break
+				}
+				if c.Target.Name == "t0" || c.Target.Name == "t1" {
+					p.Silent(c.Target.Name)
+				} else {
+					p.Probed(start, placement.Report{Target: c.Target.Name})
+				}
+			}
+		}
+		gomega.Expect(served).To(gomega.Equal(200))
+	})
 })
 
 var _ = ginkgo.Describe("objects under lasting load", func() {
