Deal a common part of every limit from one instance for each customer

Ruled out: larger overdrafts (82 instances times one token more is over the bound when the customer sends several times its rate), news of demand that is late (the parts are short in a steady state too). Change: n/(n+60) of every limit is a pool, kept for each customer by one of the instances that the store lists. Demand is averaged over 3 s, and what idle instances count with is bounded to a tenth of a limit.

--- /dev/null
+++ b/draw.go
@@ -0,0 +1,40 @@
+package lacewingramp
+
+import "time"
+
+// Draw asks the instance that keeps a customer's pool for one token.
+type Draw struct {
+	ID       uint64 `cbor:"1,keyasint"`
+	Customer string `cbor:"2,keyasint"`
+}
+
+// Drawn answers a Draw. Where there was no token, Wait is the time until there
+// is one.
+type Drawn struct {
+	ID   uint64        `cbor:"1,keyasint"`
+	OK   bool          `cbor:"2,keyasint,omitempty"`
+	Wait time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
+// Datagram is what instances send each other without a connection. One field
+// is set.
+type Datagram struct {
+	Heartbeat *Heartbeat `cbor:"1,keyasint,omitempty"`
+	Draw      *Draw      `cbor:"2,keyasint,omitempty"`
+	Drawn     *Drawn     `cbor:"3,keyasint,omitempty"`
+}
+
+// Check reports a datagram that no instance sends.
+func (d *Datagram) Check() error {
+	switch {
+	case d.Heartbeat != nil:
+		return d.Heartbeat.Check()
+	case d.Draw != nil && d.Draw.Customer == "":
+		return &NameError{Kind: "customer", Name: d.Draw.Customer}
+	case d.Drawn != nil && d.Drawn.Wait < 0:
+		return &NameError{Kind: "wait", Name: d.Drawn.Wait.String()}
+	case d.Draw == nil && d.Drawn == nil:
+		return &NameError{Kind: "datagram", Name: "empty"}
+	}
+	return nil
+}
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -31,6 +31,7 @@
 	"lacewingramp.example/lacewingramp/internal/change/rollout"
 	"lacewingramp.example/lacewingramp/internal/config/mirror"
 	"lacewingramp.example/lacewingramp/internal/config/routing"
+	"lacewingramp.example/lacewingramp/internal/limit/pool"
 	"lacewingramp.example/lacewingramp/internal/limit/retry"
 	"lacewingramp.example/lacewingramp/internal/limit/share"
 	"lacewingramp.example/lacewingramp/internal/peer/follower"
@@ -91,6 +92,8 @@
 	Attempt(verdict lacewingramp.Verdict, took time.Duration)
 	// Dialled counts a new connection to a target.
 	Dialled()
+	// Drawn counts a request for a token of a customer's pool.
+	Drawn(ok bool)
 }
 
 // Edge is one instance.
@@ -108,12 +111,21 @@
 	lines  lines.Limiter
 	client exchange.Client
 	server caller.Server
-
-	mu       sync.Mutex
-	self     lacewingramp.Endpoint
-	mirror   mirror.Mirror
-	place    placement.Placer
-	quota    share.Book
+	socket *heartbeat.Socket
+
+	mu     sync.Mutex
+	self   lacewingramp.Endpoint
+	mirror mirror.Mirror
+	place  placement.Placer
+	quota  share.Book
+	pool   pool.Keeper
+	// draws are the requests that wait for tokens of pools, drawn counts them,
+	// and dry tells until when a customer's pool is not asked.
+	draws map[uint64]chan *lacewingramp.Drawn
+	drawn uint64
+	dry   map[string]time.Time
+	// listed says that the store lists this instance.
+	listed   bool
 	budget   retry.Budget
 	ward     poison.Ward
 	rollouts *rollout.Manager
@@ -139,6 +151,9 @@
 		e.place.Begun = now
 	}
 	e.budget = retry.Budget{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow}
+	e.pool = pool.Keeper{Self: s.Name}
+	e.draws = make(map[uint64]chan *lacewingramp.Drawn)
+	e.dry = make(map[string]time.Time)
 	e.ward = poison.Ward{Instance: s.Name}
 	e.rollouts = rollout.NewManager(s.Name + lifeMark + now.Format(time.RFC3339Nano))
 	e.rollouts.SlowFactor = slowFactor
@@ -164,7 +179,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for instances")
 	}
-	socket, err := heartbeat.Listen(e.Peer)
+	e.socket, err = heartbeat.Listen(e.Peer)
 	if err != nil {
 		return err
 	}
@@ -172,16 +187,16 @@
 	var wait sync.WaitGroup
 	wait.Go(func() { e.follow(work) })
 	wait.Go(func() { e.register(work) })
-	wait.Go(func() { socket.Receive(e.hear, e.garbled) })
+	wait.Go(func() { e.socket.Receive(e.receive, e.garbled) })
 	wait.Go(func() { e.warn(follower.Serve(peers, source{e}), "serving instances") })
 	wait.Go(func() { e.warn(e.server.Serve(callers), "serving callers") })
-	stopBeat := e.Timer.Every(heartbeat.Period, func(now time.Time) { e.beat(work, now, socket) })
+	stopBeat := e.Timer.Every(heartbeat.Period, func(now time.Time) { e.beat(work, now) })
 	<-ctx.Done()
-	e.stop(callers, socket)
+	e.stop(callers)
 	stopBeat()
 	cancel()
 	_ = peers.Close()
-	_ = socket.Close()
+	_ = e.socket.Close()
 	wait.Wait()
 	return nil
 }
--- a/internal/entry/edge/edge_beat.go
+++ b/internal/entry/edge/edge_beat.go
@@ -7,7 +7,6 @@
 	"github.com/go-faster/errors"
 
 	"lacewingramp.example/lacewingramp"
-	"lacewingramp.example/lacewingramp/internal/peer/heartbeat"
 )
 
 const (
@@ -20,7 +19,7 @@
 )
 
 // beat sends a heartbeat and does what is due with it.
-func (e *Edge) beat(ctx context.Context, now time.Time, s *heartbeat.Socket) {
+func (e *Edge) beat(ctx context.Context, now time.Time) {
 	e.mu.Lock()
 	for _, name := range e.roll.Sweep(now) {
 		e.quota.Forget(name)
@@ -44,7 +43,7 @@
 	e.mu.Unlock()
 	e.client.Sweep(now)
 	e.logOmitted()
-	if err := errors.Join(s.Send(near, own), s.Send(&far, others)); err != nil {
+	if err := errors.Join(e.socket.Send(&lacewingramp.Datagram{Heartbeat: near}, own), e.socket.Send(&lacewingramp.Datagram{Heartbeat: &far}, others)); err != nil {
 		e.Log.Error().Err(err).Msg("could not send a heartbeat")
 	}
 	e.catchUp(ctx, now)
@@ -87,6 +86,18 @@
 // regionMark stands before the name of a region whose demand counts as one.
 const regionMark = "region "
 
+// receive takes in a datagram of another instance.
+func (e *Edge) receive(d *lacewingramp.Datagram, from string) {
+	switch {
+	case d.Heartbeat != nil:
+		e.hear(d.Heartbeat)
+	case d.Draw != nil:
+		e.deal(d.Draw, from)
+	case d.Drawn != nil:
+		e.takeDrawn(d.Drawn)
+	}
+}
+
 // hear takes in another instance's heartbeat.
 func (e *Edge) hear(h *lacewingramp.Heartbeat) {
 	e.mu.Lock()
--- a/internal/entry/edge/edge_notice.go
+++ b/internal/entry/edge/edge_notice.go
@@ -58,6 +58,8 @@
 	m := routing.New(n.Table)
 	e.place.Configure(n.Table.Services)
 	e.quota.Configure(now, m.Limits())
+	e.pool.Configure(now, m.Limits())
+	clear(e.dry)
 	e.routes.Store(m)
 	if old == nil {
 		close(e.tabled)
@@ -130,8 +132,12 @@
 }
 
 func (e *Edge) takeInstance(now time.Time, n *lacewingramp.Notice) {
+	name := n.Key[len(lacewingramp.KeyInstances):]
+	defer e.setKeepers(now)
+	if name == e.Name {
+		e.listed = !n.Removed
+	}
 	if n.Removed {
-		name := n.Key[len(lacewingramp.KeyInstances):]
 		e.roll.Unlist(name)
 		return
 	}
--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -68,7 +68,7 @@
 func (e *Edge) handle(ctx context.Context, r *message.Request, begun time.Time) *message.Answer {
 	j := &job{request: r, begun: begun}
 	e.awaitTable(ctx)
-	if a := e.admit(j); a != nil {
+	if a := e.admit(ctx, j); a != nil {
 		return a
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
@@ -77,7 +77,7 @@
 }
 
 // admit finds out whether a request may run, and returns the answer if not.
-func (e *Edge) admit(j *job) *message.Answer {
+func (e *Edge) admit(ctx context.Context, j *job) *message.Answer {
 	call, err := e.Wire.Call(j.request.Header)
 	j.call = call
 	if err != nil {
@@ -103,7 +103,7 @@
 		patience = min(patience, call.Patience)
 	}
 	j.deadline = j.begun.Add(patience)
-	return e.take(j)
+	return e.take(ctx, j)
 }
 
 const (
@@ -136,17 +136,16 @@
 
 // take takes the request's quota and checks it against those that crash their
 // targets.
-func (e *Edge) take(j *job) *message.Answer {
-	now := e.Timer.Now()
+func (e *Edge) take(ctx context.Context, j *job) *message.Answer {
 	j.print = poison.Print(&lacewingramp.Carry{
 		Customer: j.customerName(), Route: j.route.Name, Method: j.request.Method, URI: j.request.URI, Body: j.request.Body,
 	})
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !e.quota.Take(now, j.customerName()) {
-		wait := max(quotaRetry, e.quota.Wait(j.customerName()))
+	if wait, ok := e.takeQuota(ctx, j.customerName()); !ok {
 		return e.refuse(j, http.StatusTooManyRequests, lacewingramp.CauseRate, wait, "over the customer's rate")
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.Timer.Now()
 	if !e.ward.Enter(now, j.print) {
 		e.quota.Refund(j.customerName())
 		return e.refuse(j, http.StatusServiceUnavailable, lacewingramp.CausePoison, poisonRetry, "such requests have crashed their targets")
--- a/internal/entry/edge/edge_stop.go
+++ b/internal/entry/edge/edge_stop.go
@@ -4,7 +4,7 @@
 	"net"
 	"time"
 
-	"lacewingramp.example/lacewingramp/internal/peer/heartbeat"
+	"lacewingramp.example/lacewingramp"
 )
 
 // Parts of the time that a stop may take.
@@ -17,7 +17,7 @@
 
 // stop ends serving without cutting a request: callers are sent elsewhere,
 // every answer ends its connection, and what has been read is answered.
-func (e *Edge) stop(callers net.Listener, s *heartbeat.Socket) {
+func (e *Edge) stop(callers net.Listener) {
 	begun := e.Timer.Now()
 	e.ending.Store(true)
 	e.Log.Info().Int("connections", e.server.Open()).Msg("stopping")
@@ -25,7 +25,7 @@
 	h := e.heartbeat(begun)
 	addresses := e.roll.Addresses()
 	e.mu.Unlock()
-	if err := s.Send(h, addresses); err != nil {
+	if err := e.socket.Send(&lacewingramp.Datagram{Heartbeat: h}, addresses); err != nil {
 		e.Log.Error().Err(err).Msg("could not send the last heartbeat")
 	}
 	e.server.Drain()
--- /dev/null
+++ b/internal/entry/edge/pool_test.go
@@ -0,0 +1,50 @@
+package edge_test
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/config/routing"
+	"lacewingramp.example/lacewingramp/internal/limit/pool"
+)
+
+// The load of a large fleet: an instance's own part of a limit is next to
+// nothing, and the customer's pool is kept elsewhere.
+var _ = ginkgo.Describe("a customer of a large fleet", func() {
+	ginkgo.It("is served with tokens that another instance deals", func() {
+		w := newWorld(3)
+		var listed []string
+		for i := range 60 {
+			name := fmt.Sprint("edge-", i)
+			listed = append(listed, name)
+			w.store.put(lacewingramp.KeyInstances+name, lacewingramp.Endpoint{
+				Name: name, Domain: "a", Peer: "127.0.0.1:1", Caller: "127.0.0.1:1", Born: 1,
+			})
+		}
+		t := table(1)
+		k := pool.Keeper{}
+		k.Members(time.Time{}, listed)
+		customer := ""
+		for i := 0; k.Owner(customer) != "edge-1"; i++ {
+			customer = fmt.Sprint("customer-", i)
+		}
+		t.Customers = append(t.Customers, lacewingramp.Customer{Name: customer, Rate: 40, Burst: 40})
+		t.Keys = append(t.Keys, lacewingramp.Key{Name: "pooled", Customer: customer, Hash: routing.Hash("pooled-key")})
+		w.store.put("table/now", t)
+		for range 2 {
+			gomega.Eventually(w.start(w.store).Ready, 5*time.Second).Should(gomega.BeTrue())
+		}
+		served := 0
+		gomega.Eventually(func() int {
+			if w.ask(0, "/read/1", "pooled-key", "1").status == http.StatusOK {
+				served++
+			}
+			return served
+		}, 10*time.Second).Should(gomega.BeNumerically(">=", 10))
+	})
+})
--- /dev/null
+++ b/internal/limit/pool/pool.go
@@ -0,0 +1,134 @@
+// Package pool keeps the common part of customers' limits: what is left when
+// every instance has its own part. In a large fleet those parts are small, and
+// a request that comes to the wrong instance would be refused while tokens lie
+// unused elsewhere.
+//
+// Each customer's pool is kept by one instance, by rendezvous hashing over the
+// instances that the store lists. A listing ends with its lease, so an instance
+// whose lease has run out keeps no pool, and two never deal out of the same one
+// for longer than news of a listing takes. A pool that changes hands starts
+// empty.
+//
+// # Usage
+//
+//	var k pool.Keeper
+//	k.Configure(now, limits)
+//	k.Members(now, names)
+//	if owner := k.Owner(customer); owner == self {
+//		wait, ok := k.Deal(now, customer)
+//	}
+//
+// A Keeper is not safe for use by more than one goroutine.
+package pool
+
+import (
+	"math"
+	"time"
+
+	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/peer/duty"
+)
+
+// halfPooled is the number of instances at which half of every limit is in its
+// pool: the more there are, the less is worth a part of each, and the way to the
+// keeper costs the same.
+const halfPooled = 60
+
+// Part is the part of every limit that is in its pool.
+func Part(instances int) float64 {
+	return float64(instances) / float64(instances+halfPooled)
+}
+
+// dutyPrefix stands before a customer in the name of the duty to keep its pool.
+const dutyPrefix = "pool "
+
+// Keeper keeps the pools that fall to one instance. Its zero value keeps none.
+type Keeper struct {
+	// Self is the name of this instance.
+	Self string
+
+	limits  map[string]lacewingramp.Limit
+	members []string
+	kept    map[string]*bucket
+	// part is the part of every limit that is in its pool.
+	part float64
+}
+
+// bucket holds a pool's tokens at a moment.
+type bucket struct {
+	level  float64
+	moment time.Time
+}
+
+// fill adds the tokens of the time that has passed.
+func (k *Keeper) fill(now time.Time, name string, b *bucket) {
+	passed := now.Sub(b.moment).Seconds()
+	if passed <= 0 {
+		return
+	}
+	b.moment = now
+	l := k.limits[name]
+	b.level = math.Min(math.Max(1, l.Burst*k.part), b.level+l.Rate*k.part*passed)
+}
+
+// Configure takes limits into force.
+func (k *Keeper) Configure(now time.Time, limits map[string]lacewingramp.Limit) {
+	k.fillAll(now)
+	k.limits = limits
+	k.claim(now)
+}
+
+// Members takes in which instances the store lists.
+func (k *Keeper) Members(now time.Time, names []string) {
+	k.fillAll(now)
+	k.members, k.part = names, Part(len(names))
+	k.claim(now)
+}
+
+func (k *Keeper) fillAll(now time.Time) {
+	for name, b := range k.kept {
+		k.fill(now, name, b)
+	}
+}
+
+// claim begins the pools that this instance keeps from now on, and drops those
+// that it keeps no longer.
+func (k *Keeper) claim(now time.Time) {
+	kept := make(map[string]*bucket)
+	for name := range k.limits {
+		if k.Owner(name) != k.Self {
+			continue
+		}
+		b, ok := k.kept[name]
+		if !ok {
+			b = &bucket{moment: now}
+		}
+		kept[name] = b
+	}
+	k.kept = kept
+}
+
+// Owner names the instance that keeps a customer's pool, or none where the
+// store lists none.
+func (k *Keeper) Owner(customer string) string {
+	return duty.Owner(dutyPrefix+customer, k.members)
+}
+
+// Deal asks for one token of a pool that this instance keeps. Where there is
+// none, it returns after what time there will be one.
+func (k *Keeper) Deal(now time.Time, customer string) (wait time.Duration, ok bool) {
+	b, kept := k.kept[customer]
+	if !kept {
+		return 0, false
+	}
+	k.fill(now, customer, b)
+	if b.level >= 1 {
+		b.level--
+		return 0, true
+	}
+	rate := k.limits[customer].Rate * k.part
+	if rate <= 0 {
+		return 0, false
+	}
+	return time.Duration(math.Ceil((1 - b.level) / rate * float64(time.Second))), false
+}
--- a/internal/limit/share/share.go
+++ b/internal/limit/share/share.go
@@ -28,10 +28,12 @@
 
 const (
 	// demandTime is over how long demand is averaged.
-	demandTime = 1500 * time.Millisecond
+	demandTime = 3 * time.Second
 	// demandLeast is counted for every instance, in requests a second, so that
-	// one without demand can serve the first request.
+	// one without demand can serve the first request, but for all instances
+	// together not more than leastPart of a limit.
 	demandLeast = 0.3
+	leastPart   = 0.1
 	// startTime is how much of its rate a new bucket holds.
 	startTime = 200 * time.Millisecond
 	// calmPart is the part of a limit below which the demand of all instances
@@ -59,8 +61,11 @@
 
 // Book holds one instance's parts of all limits. Its zero value is ready.
 type Book struct {
-	accounts  map[string]*account
-	order     order
+	accounts map[string]*account
+	order    order
+	limits   map[string]lacewingramp.Limit
+	// pooled is the part of every limit that is not divided here.
+	pooled    float64
 	peers     map[string]group
 	instances int
 }
@@ -71,6 +76,16 @@
 	b.instances = n
 }
 
+// Pool takes in which part of every limit is in the customers' pools, and not
+// divided here.
+func (b *Book) Pool(now time.Time, part float64) {
+	if part == b.pooled {
+		return
+	}
+	b.pooled = part
+	b.Configure(now, b.limits)
+}
+
 // account is one customer's limit at this instance.
 type account struct {
 	limit  lacewingramp.Limit
@@ -87,9 +102,11 @@
 // far as they fit.
 func (b *Book) Configure(now time.Time, limits map[string]lacewingramp.Limit) {
 	known := b.accounts
-	b.order = newOrder(limits)
+	b.order, b.limits = newOrder(limits), limits
 	b.accounts = make(map[string]*account, len(limits))
 	for name, l := range limits {
+		l.Rate *= 1 - b.pooled
+		l.Burst *= 1 - b.pooled
 		a, ok := known[name]
 		if !ok {
 			a = &account{limit: l, moment: now, seen: now}
@@ -172,7 +189,7 @@
 func (b *Book) Demand(now time.Time) Demand {
 	all := make(Demand)
 	for name, a := range b.accounts {
-		if d := a.wanted(now); d >= demandLeast {
+		if d := a.wanted(now); d >= b.least(a) {
 			all[name] = d
 		}
 	}
@@ -253,11 +270,12 @@
 }
 
 func (b *Book) partAt(now time.Time, name string, a *account) float64 {
-	own := a.settled(now) + demandLeast
+	least := b.least(a)
+	own := a.settled(now) + least
 	sum := own
 	unheard := b.instances - 1
 	for _, g := range b.peers {
-		sum += g.demand[name] + demandLeast*float64(g.size)
+		sum += g.demand[name] + least*float64(g.size)
 		unheard -= g.size
 	}
 	if unheard > 0 {
@@ -265,3 +283,8 @@
 	}
 	return own / sum
 }
+
+// least returns the demand that is counted for every instance.
+func (b *Book) least(a *account) float64 {
+	return math.Min(demandLeast, leastPart*a.limit.Rate/float64(max(1, b.instances)))
+}
--- a/internal/peer/heartbeat/heartbeat.go
+++ b/internal/peer/heartbeat/heartbeat.go
@@ -1,11 +1,11 @@
-// Package heartbeat carries heartbeats between instances as datagrams, and
-// remembers which instances have been heard lately.
+// Package heartbeat carries heartbeats and other datagrams between instances,
+// and remembers which instances have been heard lately.
 //
 // # Usage
 //
 //	socket, err := heartbeat.Listen("10.1.0.23:7460")
-//	go socket.Receive(func(h *lacewingramp.Heartbeat) { ... })
-//	socket.Send(h, addresses)
+//	go socket.Receive(func(d *lacewingramp.Datagram, from string) { ... }, bad)
+//	socket.Send(&lacewingramp.Datagram{Heartbeat: h}, addresses)
 package heartbeat
 
 import (
@@ -21,7 +21,7 @@
 // datagramMost is the largest datagram that is read, in bytes.
 const datagramMost = 60 << 10
 
-// Socket sends and receives heartbeats.
+// Socket sends and receives datagrams.
 type Socket struct {
 	conn *net.UDPConn
 }
@@ -44,11 +44,11 @@
 	return s.conn.LocalAddr().String()
 }
 
-// Send sends a heartbeat to addresses. Those that can not be reached miss it.
-func (s *Socket) Send(h *lacewingramp.Heartbeat, addresses []string) error {
-	b, err := cbor.Marshal(h)
+// Send sends a datagram to addresses. Those that can not be reached miss it.
+func (s *Socket) Send(d *lacewingramp.Datagram, addresses []string) error {
+	b, err := cbor.Marshal(d)
 	if err != nil {
-		return errors.Wrap(err, "encode a heartbeat")
+		return errors.Wrap(err, "encode a datagram")
 	}
 	for _, a := range addresses {
 		at, err := netip.ParseAddrPort(a)
@@ -60,28 +60,28 @@
 	return nil
 }
 
-// Receive calls f for each heartbeat until the socket is closed. Datagrams
-// that are none are passed to bad.
-func (s *Socket) Receive(f func(*lacewingramp.Heartbeat), bad func(error)) {
+// Receive calls f for each datagram until the socket is closed, with the
+// address that it came from. Errors of bytes that are none are passed to bad.
+func (s *Socket) Receive(f func(d *lacewingramp.Datagram, from string), bad func(error)) {
 	b := make([]byte, datagramMost)
 	for {
-		n, _, err := s.conn.ReadFromUDPAddrPort(b)
+		n, from, err := s.conn.ReadFromUDPAddrPort(b)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
 			continue
 		}
-		h := &lacewingramp.Heartbeat{}
-		if err := cbor.Unmarshal(b[:n], h); err != nil {
-			bad(errors.Wrap(err, "decode a heartbeat"))
+		d := &lacewingramp.Datagram{}
+		if err := cbor.Unmarshal(b[:n], d); err != nil {
+			bad(errors.Wrap(err, "decode a datagram"))
 			continue
 		}
-		if err := h.Check(); err != nil {
+		if err := d.Check(); err != nil {
 			bad(err)
 			continue
 		}
-		f(h)
+		f(d, from.String())
 	}
 }
 
--- a/internal/peer/heartbeat/heartbeat_test.go
+++ b/internal/peer/heartbeat/heartbeat_test.go
@@ -118,16 +118,25 @@
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		two, err := heartbeat.Listen("127.0.0.1:0")
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
-		got := make(chan *lacewingramp.Heartbeat, 4)
+		got := make(chan *lacewingramp.Datagram, 4)
 		bad := make(chan error, 4)
-		go two.Receive(func(h *lacewingramp.Heartbeat) { got <- h }, func(err error) { bad <- err })
+		go two.Receive(func(d *lacewingramp.Datagram, from string) {
+			gomega.Expect(from).To(gomega.Equal(one.Address()))
+			got <- d
+		}, func(err error) { bad <- err })
 		h := beat("one", 1, 5)
 		h.Demand = lacewingramp.Demand{Names: 7, Rows: []byte{1, 0x40, 0x20}}
 		to := []string{two.Address(), "no address"}
-		gomega.Expect(one.Send(h, to)).To(gomega.Succeed())
-		gomega.Eventually(got).Should(gomega.Receive(gomega.Equal(h)))
-		gomega.Expect(one.Send(&lacewingramp.Heartbeat{}, to)).To(gomega.Succeed())
-		gomega.Eventually(bad).Should(gomega.Receive())
+		for _, d := range []*lacewingramp.Datagram{
+			{Heartbeat: h}, {Draw: &lacewingramp.Draw{ID: 7, Customer: "andes"}}, {Drawn: &lacewingramp.Drawn{ID: 7, OK: true}},
+		} {
+			gomega.Expect(one.Send(d, to)).To(gomega.Succeed())
+			gomega.Eventually(got).Should(gomega.Receive(gomega.Equal(d)))
+		}
+		for _, d := range []*lacewingramp.Datagram{{}, {Heartbeat: &lacewingramp.Heartbeat{}}, {Draw: &lacewingramp.Draw{}}} {
+			gomega.Expect(one.Send(d, to)).To(gomega.Succeed())
+			gomega.Eventually(bad).Should(gomega.Receive())
+		}
 		_ = one.Close()
 		_ = two.Close()
 	})
--- a/internal/peer/heartbeat/roll.go
+++ b/internal/peer/heartbeat/roll.go
@@ -190,6 +190,27 @@
 	r.lists[far].set(all[far], farMost)
 }
 
+// Listed names the other instances that the store lists.
+func (r *Roll) Listed() (names []string) {
+	for name, m := range r.all {
+		if m.listed {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Address returns where an instance gets its datagrams, or nothing if that is
+// not known.
+func (r *Roll) Address(name string) string {
+	m, ok := r.all[name]
+	if !ok {
+		return ""
+	}
+	return m.Peer
+}
+
 // Alive lists the instances that have been heard lately, this one not among
 // them.
 func (r *Roll) Alive(now time.Time) []lacewingramp.Endpoint {
--- a/internal/report/meter/meter.go
+++ b/internal/report/meter/meter.go
@@ -53,6 +53,11 @@
 	m.dialled.Inc()
 }
 
+// Drawn counts a request for a token of a customer's pool.
+func (m *Meter) Drawn(ok bool) {
+	m.set.GetOrCreateCounter(`lacewingramp_pool_draws_total{ok="` + strconv.FormatBool(ok) + `"}`).Inc()
+}
+
 // Dropped counts log lines that found no room.
 func (m *Meter) Dropped(n int) {
 	m.dropped.Add(n)
