--- a/digest.go
+++ b/digest.go
@@ -14,6 +14,9 @@
 	Caller  string `json:"caller" cbor:"4,keyasint"`
 	Leaving bool   `json:"leaving,omitempty" cbor:"5,keyasint,omitempty"`
 	Born    int64  `json:"born,omitempty" cbor:"6,keyasint,omitempty"`
+	// Room is how many requests a second the instance can carry, 0 if that is not
+	// known.
+	Room int `json:"room,omitempty" cbor:"7,keyasint,omitempty"`
 }
 
 // Check reports an endpoint that can not be reached.
--- a/heartbeat.go
+++ b/heartbeat.go
@@ -21,6 +21,8 @@
 	Direct   bool       `cbor:"8,keyasint,omitempty"`
 	Watches  bool       `cbor:"9,keyasint,omitempty"`
 	Sum      int        `cbor:"10,keyasint,omitempty"`
+	// Rate is what the instance is asked at present, in requests a second.
+	Rate float32 `cbor:"11,keyasint,omitempty"`
 }
 
 // Check reports a heartbeat that no instance sends.
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -61,6 +61,10 @@
 	ExposeShare float64
 	// LookupLife is how long callers may keep a look-up.
 	LookupLife time.Duration
+	// Processor is the part of a processor that the instance has, and Bandwidth
+	// what its link carries, in bits a second. 0 is not known.
+	Processor float64
+	Bandwidth float64
 }
 
 // Store is what an instance needs of the platform's store.
@@ -108,7 +112,9 @@
 	ready  atomic.Bool
 	ending atomic.Bool
 
-	lines  lines.Limiter
+	lines lines.Limiter
+	// asked counts the requests of callers since the last heartbeat.
+	asked  atomic.Int64
 	client exchange.Client
 	server caller.Server
 	socket *heartbeat.Socket
@@ -134,7 +140,9 @@
 	roll     heartbeat.Roll
 	lapsed   map[string]time.Time
 	probes   map[string]*probe
-	store    storeState
+	// rate is how many requests a second came lately.
+	rate  float64
+	store storeState
 }
 
 // New returns an instance.
@@ -143,6 +151,7 @@
 	e := &Edge{Settings: s, Parts: p, tabled: make(chan struct{}), begun: now}
 	e.self = lacewingramp.Endpoint{
 		Name: s.Name, Domain: s.Domain, Peer: s.Peer, Caller: s.Callers, Born: now.UnixMilli(),
+		Room: room(s.Processor, s.Bandwidth),
 	}
 	e.client.Wire = p.Wire
 	e.server = caller.Server{Handle: e.handle, Bounds: e.bounds, Malformed: e.malformed}
--- a/internal/entry/edge/edge_beat.go
+++ b/internal/entry/edge/edge_beat.go
@@ -30,6 +30,7 @@
 		}
 	}
 	e.setMembers(now)
+	e.setRate()
 	e.quota.Tick(now)
 	e.setFollowed(now)
 	e.sweepLapsed(now)
@@ -67,7 +68,7 @@
 	self.Leaving = e.ending.Load()
 	return &lacewingramp.Heartbeat{
 		Endpoint: self, Ready: e.Ready(), Revision: e.mirror.Revision(),
-		Direct: !e.store.lost, Watches: e.watches(now),
+		Direct: !e.store.lost, Watches: e.watches(now), Rate: float32(e.rate),
 		Marks: e.ward.Told(now), Evidence: e.rollouts.Evidence(), Outcomes: e.rollouts.Outcomes(),
 	}
 }
--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -66,6 +66,7 @@
 
 // handle answers one request of a caller.
 func (e *Edge) handle(ctx context.Context, r *message.Request, begun time.Time) *message.Answer {
+	e.asked.Add(1)
 	j := &job{request: r, begun: begun}
 	e.awaitTable(ctx)
 	if a := e.admit(ctx, j); a != nil {
--- a/internal/operator/command/cmd_serve.go
+++ b/internal/operator/command/cmd_serve.go
@@ -70,7 +70,7 @@
 	e := edge.New(edge.Settings{
 		Name: s.Instance, Domain: s.Domain, Region: s.Region, Regions: s.Regions,
 		Callers: s.Callers, Peer: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)),
-		Bootstrap: s.Bootstrap, Stop: s.Stop, LookupLife: s.LookupLife, ExposeShare: s.ExposeShare,
+		Bootstrap: s.Bootstrap, Stop: s.Stop, LookupLife: s.LookupLife, Processor: s.Processor, Bandwidth: s.Bandwidth, ExposeShare: s.ExposeShare,
 		RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryWindow: s.RetryWindow,
 	}, edge.Parts{
 		Store: store, Reader: platform.Reader{}, Writer: platform.Writer{}, Wire: platform.Wire{},
--- a/internal/peer/heartbeat/roll.go
+++ b/internal/peer/heartbeat/roll.go
@@ -97,6 +97,7 @@
 	listed   bool
 	revision int64
 	ahead    time.Time
+	rate     float64
 }
 
 func (r *Roll) member(name string) *member {
@@ -146,6 +147,7 @@
 	m.heard, m.known = now, now
 	m.ready, m.direct, m.watches = h.Ready, h.Direct, h.Watches
 	m.revision = max(m.revision, h.Revision)
+	m.rate = float64(h.Rate)
 	return regained
 }
 
@@ -222,6 +224,17 @@
 	return r.pick(func(m *member) bool { return r.alive(now, m) && m.ready && !m.Leaving })
 }
 
+// Rates tells what the live instances are asked, in requests a second.
+func (r *Roll) Rates(now time.Time) map[string]float64 {
+	all := make(map[string]float64, len(r.all))
+	for name, m := range r.all {
+		if r.alive(now, m) {
+			all[name] = m.rate
+		}
+	}
+	return all
+}
+
 // Direct lists the instances that the store answers.
 func (r *Roll) Direct(now time.Time) []lacewingramp.Endpoint {
 	return r.pick(func(m *member) bool { return r.alive(now, m) && m.direct && !m.Leaving })
