Ask again whether a target may serve once its connection is open

A target is chosen before its connection is opened, which takes up to a second for each of three targets; what was learned meanwhile did not count. Change: after a connection had to be opened, the target is looked up again; one that has left, moved or is evacuated gets nothing, and another is chosen. In the same commit connections are kept as long as targets say, up to 9 s, where it was 4 s at most: in a large fleet an instance meets a target every few seconds. Tests: a withdrawn target gets no byte; what may serve after an evacuation, a leaving and a removal; how long connections are kept.

--- a/internal/call/exchange/exchange.go
+++ b/internal/call/exchange/exchange.go
@@ -35,8 +35,9 @@
 const (
 	dialTimeout = time.Second
 	// idleMost is how long a connection of a target that does not tell its
-	// idle timeout is kept.
+	// idle timeout is kept, and toldMost that of one that does.
 	idleMost = 4 * time.Second
+	toldMost = 9 * time.Second
 	// idleMargin is how long before a target's idle timeout its connection is
 	// given up, as a request could cross the target's close.
 	idleMargin = time.Second
@@ -56,18 +57,21 @@
 
 // Order is one request for one target. Header goes in place of the request's
 // own. ID is what the answer must carry. Once says that the request must not
-// run twice.
+// run twice. Allowed is asked after a connection had to be opened, which can
+// take a second, whether the target may still get the request; nil allows it.
 type Order struct {
 	Address string
 	Request *message.Request
 	Header  http.Header
 	ID      string
 	Once    bool
+	Allowed func() bool
 }
 
 // Result is what became of an Order. Answer is nil where none came whole, and
-// Err says why. Died says that the connection broke under the request, and
-// Unreachable that there was no connection.
+// Err says why. Died says that the connection broke under the request,
+// Unreachable that there was no connection, and Withdrawn that the target was
+// not allowed any more when there was one.
 type Result struct {
 	Answer      *message.Answer
 	Sign        lacewingramp.Sign
@@ -75,6 +79,7 @@
 	Err         error
 	Died        bool
 	Unreachable bool
+	Withdrawn   bool
 	Dialled     bool
 }
 
@@ -92,6 +97,10 @@
 	if err != nil {
 		return Result{Verdict: lacewingramp.NotRun, Err: err, Unreachable: ctx.Err() == nil}
 	}
+	if dialled && o.Allowed != nil && !o.Allowed() {
+		_ = k.Close()
+		return Result{Verdict: lacewingramp.NotRun, Withdrawn: true, Dialled: true}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = k.Close() })
 	r := c.exchange(k, o)
 	r.Dialled = dialled
@@ -179,7 +188,7 @@
 			continue
 		}
 		if n, err := strconv.Atoi(value); err == nil && n >= 0 {
-			return min(idleMost, max(0, time.Duration(n)*time.Second-idleMargin))
+			return min(toldMost, max(0, time.Duration(n)*time.Second-idleMargin))
 		}
 	}
 	return idleMost
--- a/internal/call/exchange/exchange_test.go
+++ b/internal/call/exchange/exchange_test.go
@@ -134,6 +134,19 @@
 		gomega.Expect(r.Unreachable).To(gomega.BeTrue())
 	})
 
+	ginkgo.It("sends nothing to a target that may not serve any more when its connection is open", func(ctx context.Context) {
+		s := serve(ok, second)
+		o := s.order("1", false)
+		allowed := false
+		o.Allowed = func() bool { return allowed }
+		r := c.Do(ctx, o)
+		gomega.Expect(r.Verdict).To(gomega.Equal(lacewingramp.NotRun))
+		gomega.Expect(r.Withdrawn).To(gomega.BeTrue())
+		gomega.Expect(s.got.Load()).To(gomega.BeZero())
+		allowed = true
+		gomega.Expect(c.Do(ctx, o).Verdict).To(gomega.Equal(lacewingramp.Ran))
+	})
+
 	ginkgo.It("closes the connection when its caller has left", func(ctx context.Context) {
 		s := serve("silence")
 		call, leave := context.WithCancel(ctx)
--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -247,6 +247,7 @@
 	})
 	r := e.client.Do(ctx, exchange.Order{
 		Address: c.Target.Address, Request: j.request, Header: h, ID: j.call.ID, Once: !j.route.Idempotent,
+		Allowed: func() bool { return e.mayServe(c.Target) },
 	})
 	took := e.Timer.Now().Sub(begun)
 	e.Meter.Attempt(r.Verdict, took)
@@ -257,6 +258,14 @@
 	return attempt{choice: c, result: r, took: took, crashed: crashed}
 }
 
+// mayServe reports whether a target that was chosen before is still listed and
+// neither leaving nor in a failure domain that is evacuated.
+func (e *Edge) mayServe(t *lacewingramp.Target) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.place.MayServe(t)
+}
+
 // crashed reports whether a target whose connection broke refuses another.
 func (e *Edge) crashed(address string) bool {
 	c, err := net.DialTimeout("tcp4", address, crashTimeout)
@@ -310,7 +319,7 @@
 
 // settle returns the caller's answer if there is one after an attempt.
 func (e *Edge) settle(ctx context.Context, j *job, r exchange.Result) *message.Answer {
-	if r.Unreachable {
+	if r.Unreachable || r.Withdrawn {
 		j.unreachable++
 		return nil
 	}
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -191,6 +191,13 @@
 	return t.Listing, true
 }
 
+// MayServe reports whether a target that was chosen before may still get a
+// request.
+func (p *Placer) MayServe(chosen *lacewingramp.Target) bool {
+	t, ok := p.targets[chosen.Name]
+	return ok && t.Address == chosen.Address && !t.Leaving && !t.gone && !p.evacuated[t.Domain]
+}
+
 // Names lists the targets' names.
 func (p *Placer) Names() []string {
 	all := make([]string, 0, len(p.targets))
--- a/internal/steer/placement/placement_test.go
+++ b/internal/steer/placement/placement_test.go
@@ -135,6 +135,22 @@
 		gomega.Expect(p.Choose(start, ask("17"))).To(gomega.Equal(placement.Choice{}))
 	})
 
+	ginkgo.It("may not be sent to any more once its target leaves, moves or is in an evacuated domain", func() {
+		p := placer("one", 12, 3)
+		c := p.Choose(start, ask("17"))
+		gomega.Expect(p.MayServe(c.Target)).To(gomega.BeTrue())
+		p.Evacuate(start, c.Target.Domain, true)
+		gomega.Expect(p.MayServe(c.Target)).To(gomega.BeFalse())
+		p.Evacuate(start, c.Target.Domain, false)
+		gomega.Expect(p.MayServe(c.Target)).To(gomega.BeTrue())
+		l := lacewingramp.Listing{Target: *c.Target, Born: 1}
+		l.Leaving = true
+		p.Update(start, l)
+		gomega.Expect(p.MayServe(c.Target)).To(gomega.BeFalse())
+		p.Remove(c.Target.Name)
+		gomega.Expect(p.MayServe(c.Target)).To(gomega.BeFalse())
+	})
+
 	ginkgo.It("leaves a target that could not be reached alone, and longer each time", func() {
 		p := placer("one", 1, 3)
 		now := start
