Keep and tell first the crash marks that have seen most deaths

Change: the mark that is forgotten is one with the fewest deaths, and those with the most are told first.

--- a/internal/call/poison/poison.go
+++ b/internal/call/poison/poison.go
@@ -33,9 +33,8 @@
 	Time = 10 * time.Minute
 	// marksMost is how many prints are remembered.
 	marksMost = 64
-	// newsMost is how many of the marks that were learned last are told in a
-	// round, and turnMost how many of all marks by turns: an instance that has
-	// just started learns the older ones from those.
+	// newsMost is how many of the marks that matter most are told in a round, and
+	// turnMost how many of all marks by turns.
 	newsMost = 4
 	turnMost = 4
 )
@@ -130,19 +129,29 @@
 	return m
 }
 
-// trim forgets the oldest mark when there are too many.
+// trim forgets the least mark when there are too many.
 func (w *Ward) trim() {
 	if len(w.marks) < marksMost {
 		return
 	}
-	var oldest uint64
+	var least uint64
 	found := false
 	for p, m := range w.marks {
-		if !found || m.last.Before(w.marks[oldest].last) {
-			oldest, found = p, true
+		if !found || w.marks[least].before(m) {
+			least, found = p, true
 		}
 	}
-	delete(w.marks, oldest)
+	delete(w.marks, least)
+}
+
+// before reports whether a mark matters more than another: it has seen more
+// deaths, or as many and one of them later. After a failure that has taken many
+// targets most marks are of requests that had no part in it.
+func (m *mark) before(other *mark) bool {
+	if a, b := m.total(), other.total(); a != b {
+		return a > b
+	}
+	return m.last.After(other.last)
 }
 
 // Marks lists what is remembered, for the next heartbeat.
@@ -165,15 +174,15 @@
 	return all
 }
 
-// Told lists the marks for the next heartbeat: the newest, and some of the
-// others by turns. So a heartbeat stays small after a failure that has taken
-// many targets, with all that ran on them.
+// Told lists the marks for the next heartbeat: those that matter most, and some
+// of the others by turns. So a heartbeat stays small after a failure that has
+// taken many targets, with all that ran on them.
 func (w *Ward) Told(now time.Time) []lacewingramp.Mark {
 	all := w.Marks(now)
 	if len(all) <= newsMost+turnMost {
 		return all
 	}
-	sort.SliceStable(all, func(i, j int) bool { return w.marks[all[i].Print].last.After(w.marks[all[j].Print].last) })
+	sort.SliceStable(all, func(i, j int) bool { return w.marks[all[i].Print].before(w.marks[all[j].Print]) })
 	told := all[:newsMost:newsMost]
 	others := all[newsMost:]
 	for range turnMost {
