--- a/internal/limit/pool/pool_test.go
+++ b/internal/limit/pool/pool_test.go
@@ -11,14 +11,15 @@
 	"lacewingramp.example/lacewingramp"
 	"lacewingramp.example/lacewingramp/internal/limit/pool"
 	"lacewingramp.example/lacewingramp/internal/limit/share"
+	"lacewingramp.example/lacewingramp/internal/proof/window"
 )
 
 var start = time.Unix(1_800_000_000, 0)
 
 const (
-	step   = 10 * time.Millisecond
-	beat   = 250 * time.Millisecond
-	window = 5 * time.Second
+	step = 10 * time.Millisecond
+	beat = 250 * time.Millisecond
+	span = 5 * time.Second
 	// late is how long news of demand takes in a large fleet.
 	late = time.Second
 )
@@ -129,20 +130,8 @@
 	}
 }
 
-// most is the largest number of requests in any window.
-func (f *fleet) most() int {
-	most, first := 0, 0
-	for i, t := range f.taken {
-		for t.Sub(f.taken[first]) >= window {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 func allowed(l lacewingramp.Limit) float64 {
-	return (l.Rate*window.Seconds()+l.Burst)*1.1 + 20
+	return (l.Rate*span.Seconds()+l.Burst)*1.1 + 20
 }
 
 // The load of a large fleet: many instances, and customers that ask for less
@@ -180,7 +169,7 @@
 		r := random()
 		f.run(r, 6*time.Second, 25, busy)
 		f.run(r, 8*time.Second, 190, busy)
-		gomega.Expect(float64(f.most())).To(gomega.BeNumerically("<=", allowed(limit)))
+		gomega.Expect(float64(window.Most(f.taken, span))).To(gomega.BeNumerically("<=", allowed(limit)))
 	})
 
 	ginkgo.It("is held to its limit when all instances start anew under overload", func() {
@@ -189,7 +178,7 @@
 		f.run(r, 8*time.Second, 190, busy)
 		f.restart()
 		f.run(r, 8*time.Second, 190, busy)
-		gomega.Expect(float64(f.most())).To(gomega.BeNumerically("<=", allowed(limit)))
+		gomega.Expect(float64(window.Most(f.taken, span))).To(gomega.BeNumerically("<=", allowed(limit)))
 	})
 })
 
--- a/internal/limit/share/share_test.go
+++ b/internal/limit/share/share_test.go
@@ -10,14 +10,15 @@
 
 	"lacewingramp.example/lacewingramp"
 	"lacewingramp.example/lacewingramp/internal/limit/share"
+	"lacewingramp.example/lacewingramp/internal/proof/window"
 )
 
 var start = time.Unix(1_800_000_000, 0)
 
 const (
-	step   = 10 * time.Millisecond
-	beat   = 250 * time.Millisecond
-	window = 5 * time.Second
+	step = 10 * time.Millisecond
+	beat = 250 * time.Millisecond
+	span = 5 * time.Second
 )
 
 // fleet is a number of books that exchange their demand.
@@ -84,20 +85,8 @@
 	}
 }
 
-// most is the largest number of requests in any window.
-func (f *fleet) most() int {
-	most, first := 0, 0
-	for i, t := range f.taken {
-		for t.Sub(f.taken[first]) >= window {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 func allowed(l lacewingramp.Limit) float64 {
-	return l.Rate*window.Seconds()*1.1 + l.Burst*1.1 + 20
+	return l.Rate*span.Seconds()*1.1 + l.Burst*1.1 + 20
 }
 
 var _ = ginkgo.Describe("a limit over all instances", func() {
@@ -115,7 +104,7 @@
 	ginkgo.It("holds when one customer sends several times its rate", func() {
 		f := newFleet(8, limit)
 		f.run(random(), 20*time.Second, []float64{90, 90, 90, 90, 90, 90, 90, 90})
-		gomega.Expect(float64(f.most())).To(gomega.BeNumerically("<=", allowed(limit)))
+		gomega.Expect(float64(window.Most(f.taken, span))).To(gomega.BeNumerically("<=", allowed(limit)))
 		gomega.Expect(float64(len(f.taken))).To(gomega.BeNumerically(">=", 0.9*limit.Rate*20))
 	})
 
@@ -129,7 +118,7 @@
 			}
 		}
 		f.run(r, 10*time.Second, []float64{60, 60, 60, 60, 30, 30, 30, 30})
-		gomega.Expect(float64(f.most())).To(gomega.BeNumerically("<=", allowed(limit)))
+		gomega.Expect(float64(window.Most(f.taken, span))).To(gomega.BeNumerically("<=", allowed(limit)))
 	})
 
 	ginkgo.It("holds when all instances start anew at the same moment", func() {
@@ -139,7 +128,7 @@
 		fresh := newFleet(8, limit)
 		fresh.now, fresh.taken = old.now, old.taken
 		fresh.run(r, 5*time.Second, []float64{60, 60, 60, 60, 60, 60, 60, 60})
-		gomega.Expect(float64(fresh.most())).To(gomega.BeNumerically("<=", allowed(limit)))
+		gomega.Expect(float64(window.Most(fresh.taken, span))).To(gomega.BeNumerically("<=", allowed(limit)))
 	})
 
 	ginkgo.It("holds over many instances that hear each other late", func() {
@@ -154,7 +143,7 @@
 		f.late = time.Second
 		f.run(r, 5*time.Second, calm)
 		f.run(r, 6*time.Second, hot)
-		gomega.Expect(float64(f.most())).To(gomega.BeNumerically("<=", allowed(large)))
+		gomega.Expect(float64(window.Most(f.taken, span))).To(gomega.BeNumerically("<=", allowed(large)))
 	})
 
 	ginkgo.It("takes no more than its part for an instance that has heard of no other", func() {
--- /dev/null
+++ b/internal/proof/window/window_test.go
@@ -0,0 +1,24 @@
+package window_test
+
+import (
+	"testing"
+	"time"
+
+	"lacewingramp.example/lacewingramp/internal/proof/window"
+)
+
+func TestMost(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	var moments []time.Time
+	for _, s := range []int{0, 1, 2, 6, 7, 8, 9, 30} {
+		moments = append(moments, start.Add(time.Duration(s)*time.Second))
+	}
+	for d, want := range map[time.Duration]int{time.Second: 1, 3 * time.Second: 3, 5 * time.Second: 4, time.Minute: 8} {
+		if got := window.Most(moments, d); got != want {
+			t.Errorf("Most in %s = %d, want %d", d, got, want)
+		}
+	}
+	if got := window.Most(nil, time.Second); got != 0 {
+		t.Errorf("Most of nothing = %d", got)
+	}
+}
