Work out keepers of pools once for a batch of listings, and say why a pool gave nothing

Read in the diff: every listing of an instance had all keepers worked out anew, and a draw hashed all instances: 1,600 listings, 200 customers and 1,600 members come to half a thousand million hashes at a start. A caller that left while its request waited for a token marked the pool as silent for half a second: it does not any more. A refusal for rate now says what became of the pool, for the on-call engineer.

--- a/internal/entry/edge/edge_admit.go
+++ b/internal/entry/edge/edge_admit.go
@@ -130,8 +130,8 @@
 	j.print = poison.Print(&lacewingramp.Carry{
 		Customer: j.customerName(), Route: j.route.Name, Method: j.request.Method, URI: j.request.URI, Body: j.request.Body,
 	})
-	if wait, ok := e.takeQuota(ctx, j.customerName()); !ok {
-		return e.refuse(j, http.StatusTooManyRequests, lacewingramp.CauseRate, wait, "over the customer's rate")
+	if wait, err := e.takeQuota(ctx, j.customerName()); err != nil {
+		return e.refuse(j, http.StatusTooManyRequests, lacewingramp.CauseRate, wait, "over the customer's rate: "+err.Error())
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/entry/edge/edge_notice.go
+++ b/internal/entry/edge/edge_notice.go
@@ -10,6 +10,7 @@
 // apply acts on changes of the store, in order. The caller holds the lock.
 func (e *Edge) apply(changes []lacewingramp.Change) {
 	now := e.Timer.Now()
+	listed := false
 	for _, c := range changes {
 		n, err := e.Reader.Read(c)
 		if err != nil {
@@ -18,6 +19,10 @@
 			continue
 		}
 		e.notice(now, &n)
+		listed = listed || n.Instance != nil
+	}
+	if listed {
+		e.setKeepers(now)
 	}
 }
 
@@ -133,7 +138,6 @@
 
 func (e *Edge) takeInstance(now time.Time, n *lacewingramp.Notice) {
 	name := n.Key[len(lacewingramp.KeyInstances):]
-	defer e.setKeepers(now)
 	if name == e.Name {
 		e.listed = !n.Removed
 	}
--- a/internal/entry/edge/edge_pool.go
+++ b/internal/entry/edge/edge_pool.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"lacewingramp.example/lacewingramp"
 	"lacewingramp.example/lacewingramp/internal/limit/pool"
 )
@@ -20,35 +22,49 @@
 	dryMost  = 500 * time.Millisecond
 )
 
+// Reasons why there was no token for a request in its customer's pool.
+var (
+	errPoolEmpty  = errors.New("the pool has no token")
+	errPoolSilent = errors.New("the pool's keeper did not answer")
+	errPoolLeft   = errors.New("the pool had no token or did not answer shortly before")
+	errPoolNone   = errors.New("nobody is known to keep the pool")
+)
+
 // takeQuota takes a customer's quota for one request, from this instance's part
-// of the limit or else from the pool. Where there is none it returns when the
-// caller should come back.
-func (e *Edge) takeQuota(ctx context.Context, customer string) (wait time.Duration, ok bool) {
+// of the limit or else from the pool. Where there is none it returns the reason,
+// and when the caller should come back.
+func (e *Edge) takeQuota(ctx context.Context, customer string) (wait time.Duration, err error) {
 	e.mu.Lock()
-	now := e.Timer.Now()
-	ok = e.quota.Take(now, customer)
+	ok := e.quota.Take(e.Timer.Now(), customer)
 	wait = max(quotaRetry, e.quota.Wait(customer))
 	e.mu.Unlock()
 	if ok {
-		return 0, true
+		return 0, nil
 	}
 	return wait, e.draw(ctx, customer)
 }
 
 // draw asks the keeper of a customer's pool for a token.
-func (e *Edge) draw(ctx context.Context, customer string) bool {
+func (e *Edge) draw(ctx context.Context, customer string) error {
 	e.mu.Lock()
 	now := e.Timer.Now()
 	owner := e.pool.Owner(customer)
 	if owner == e.Name {
 		_, ok := e.pool.Deal(now, customer)
 		e.mu.Unlock()
-		return ok
+		if !ok {
+			return errPoolEmpty
+		}
+		return nil
 	}
 	address := e.roll.Address(owner)
-	if address == "" || now.Before(e.dry[customer]) || len(e.draws) >= drawsMost {
+	if address == "" {
+		e.mu.Unlock()
+		return errPoolNone
+	}
+	if now.Before(e.dry[customer]) || len(e.draws) >= drawsMost {
 		e.mu.Unlock()
-		return false
+		return errPoolLeft
 	}
 	e.drawn++
 	d := &lacewingramp.Draw{ID: e.drawn, Customer: customer}
@@ -62,14 +78,16 @@
 	delete(e.draws, d.ID)
 	e.Meter.Drawn(a != nil && a.OK)
 	switch {
+	case a == nil && ctx.Err() != nil:
+		return errPoolSilent
 	case a == nil:
 		e.dry[customer] = e.Timer.Now().Add(dryMost)
-		return false
+		return errPoolSilent
 	case !a.OK:
 		e.dry[customer] = e.Timer.Now().Add(min(max(a.Wait, dryLeast), dryMost))
-		return false
+		return errPoolEmpty
 	}
-	return true
+	return nil
 }
 
 func awaitDrawn(ctx context.Context, answer <-chan *lacewingramp.Drawn) *lacewingramp.Drawn {
--- a/internal/entry/edge/pool_test.go
+++ b/internal/entry/edge/pool_test.go
@@ -32,6 +32,7 @@
 		customer := ""
 		for i := 0; k.Owner(customer) != "edge-1"; i++ {
 			customer = fmt.Sprint("customer-", i)
+			k.Configure(time.Time{}, map[string]lacewingramp.Limit{customer: {Rate: 1}})
 		}
 		t.Customers = append(t.Customers, lacewingramp.Customer{Name: customer, Rate: 40, Burst: 40})
 		t.Keys = append(t.Keys, lacewingramp.Key{Name: "pooled", Customer: customer, Hash: routing.Hash("pooled-key")})
--- a/internal/limit/pool/pool.go
+++ b/internal/limit/pool/pool.go
@@ -49,7 +49,9 @@
 
 	limits  map[string]lacewingramp.Limit
 	members []string
-	kept    map[string]*bucket
+	// owners names the keeper of each customer's pool.
+	owners map[string]string
+	kept   map[string]*bucket
 	// part is the part of every limit that is in its pool.
 	part float64
 }
@@ -95,8 +97,10 @@
 // that it keeps no longer.
 func (k *Keeper) claim(now time.Time) {
 	kept := make(map[string]*bucket)
+	k.owners = make(map[string]string, len(k.limits))
 	for name := range k.limits {
-		if k.Owner(name) != k.Self {
+		k.owners[name] = duty.Owner(dutyPrefix+name, k.members)
+		if k.owners[name] != k.Self {
 			continue
 		}
 		b, ok := k.kept[name]
@@ -109,9 +113,9 @@
 }
 
 // Owner names the instance that keeps a customer's pool, or none where the
-// store lists none.
+// store lists none or the customer has no limit.
 func (k *Keeper) Owner(customer string) string {
-	return duty.Owner(dutyPrefix+customer, k.members)
+	return k.owners[customer]
 }
 
 // Deal asks for one token of a pool that this instance keeps. Where there is
