--- a/GNUmakefile
+++ b/GNUmakefile
@@ -9,7 +9,12 @@
 WHY ?= run by hand
 DAYS ?= 40
 
-.PHONY: all build run test check red lint fmt generate bench slopes clean platform calm score hunt
+# SEEDS are the seeds of the soak, from the first to the last, and TIME how long
+# each is played.
+SEEDS ?= 1-50
+TIME ?= 20s
+
+.PHONY: all build run test check red lint fmt generate bench slopes clean platform calm score hunt soak
 
 all: build
 
@@ -54,5 +59,8 @@
 hunt:
 	$(BENCH) hunt $(SITE) --days $(DAYS) --why "$(WHY)"
 
+soak:
+	LACEWINGRAMP_SOAK_SEEDS=$(SEEDS) LACEWINGRAMP_SOAK_TIME=$(TIME) $(GO) test -timeout 3h -count=1 -ginkgo.v ./platform/soak
+
 clean:
 	rm -rf bin target
