Wait for a channel with a time in one place, and say truly what a pool's keeper is

Read in the diff: four functions of entry/edge each had a timer and a select of the same shape; they call await. The package comment of limit/pool promised that two instances never deal out of one pool for long, which does not hold where a part of the fleet is cut off from the store (docs/design/platform.md says so). The log line of a bad datagram spoke of heartbeats only. No behaviour changes; tests of entry/edge and limit/pool pass as they are.

--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -218,7 +218,7 @@
 }
 
 func (e *Edge) garbled(err error) {
-	e.Log.Warn().Err(err).Msg("passed over a datagram that is no heartbeat")
+	e.Log.Warn().Err(err).Msg("passed over a datagram that can not be read")
 }
 
 // Ready reports whether the instance takes requests.
--- a/internal/entry/edge/edge_admit.go
+++ b/internal/entry/edge/edge_admit.go
@@ -115,13 +115,7 @@
 	if left <= 0 {
 		return
 	}
-	t := time.NewTimer(left)
-	defer t.Stop()
-	select {
-	case <-e.tabled:
-	case <-ctx.Done():
-	case <-t.C:
-	}
+	await(ctx, e.tabled, left)
 }
 
 // take takes the request's quota and checks it against those that crash their
--- a/internal/entry/edge/edge_follow.go
+++ b/internal/entry/edge/edge_follow.go
@@ -299,13 +299,3 @@
 			Msg("caught up with another instance")
 	}()
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/entry/edge/edge_pool.go
+++ b/internal/entry/edge/edge_pool.go
@@ -72,15 +72,15 @@
 	e.draws[d.ID] = answer
 	e.mu.Unlock()
 	e.tell(&lacewingramp.Datagram{Draw: d}, address)
-	a := awaitDrawn(ctx, answer)
+	a, answered := await(ctx, answer, drawPatience)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.draws, d.ID)
-	e.Meter.Drawn(a != nil && a.OK)
+	e.Meter.Drawn(answered && a.OK)
 	switch {
-	case a == nil && ctx.Err() != nil:
+	case !answered && ctx.Err() != nil:
 		return errPoolSilent
-	case a == nil:
+	case !answered:
 		e.dry[customer] = e.Timer.Now().Add(dryMost)
 		return errPoolSilent
 	case !a.OK:
@@ -90,18 +90,6 @@
 	return nil
 }
 
-func awaitDrawn(ctx context.Context, answer <-chan *lacewingramp.Drawn) *lacewingramp.Drawn {
-	late := time.NewTimer(drawPatience)
-	defer late.Stop()
-	select {
-	case a := <-answer:
-		return a
-	case <-ctx.Done():
-	case <-late.C:
-	}
-	return nil
-}
-
 // deal answers another instance that asks for a token.
 func (e *Edge) deal(d *lacewingramp.Draw, from string) {
 	e.mu.Lock()
--- a/internal/entry/edge/edge_probe.go
+++ b/internal/entry/edge/edge_probe.go
@@ -31,16 +31,12 @@
 // old. Requests that come meanwhile wait for the same answer.
 func (e *Edge) confirm(ctx context.Context, t *lacewingramp.Target) {
 	p := e.probing(t)
-	late := time.NewTimer(probePatience)
-	defer late.Stop()
-	select {
-	case <-p.done:
-	case <-ctx.Done():
-	case <-late.C:
-		e.mu.Lock()
-		e.place.Silent(t.Name)
-		e.mu.Unlock()
+	if _, ok := await(ctx, p.done, probePatience); ok || ctx.Err() != nil {
+		return
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.place.Silent(t.Name)
 }
 
 // probing returns the health check of a target that is under way, or starts one.
--- a/internal/limit/pool/pool.go
+++ b/internal/limit/pool/pool.go
@@ -4,10 +4,10 @@
 // unused elsewhere.
 //
 // Each customer's pool is kept by one instance, by rendezvous hashing over the
-// instances that the store lists. A listing ends with its lease, so an instance
-// whose lease has run out keeps no pool, and two never deal out of the same one
-// for longer than news of a listing takes. A pool that changes hands starts
-// empty.
+// instances that the store lists, as far as the one that asks knows. Two deal out
+// of the same pool while news of a listing is on its way, or where a part of the
+// fleet has been cut off from the store for longer than a lease. A pool that
+// changes hands starts empty.
 //
 // # Usage
 //
