Keep one token bucket for parts and pools of limits

Cause, read in the diff: limit/pool wrote again how a bucket fills, is taken from and tells its wait, as limit/share had it. limit/bucket is that once; limit/quota's parcels are exact units and something else. Tests of both pass as they are, limit/bucket has its own.

--- a/internal/limit/pool/pool.go
+++ b/internal/limit/pool/pool.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/limit/bucket"
 	"lacewingramp.example/lacewingramp/internal/peer/duty"
 )
 
@@ -51,62 +52,39 @@
 	members []string
 	// owners names the keeper of each customer's pool.
 	owners map[string]string
-	kept   map[string]*bucket
+	kept   map[string]*bucket.Bucket
 	// part is the part of every limit that is in its pool.
 	part float64
 }
 
-// bucket holds a pool's tokens at a moment.
-type bucket struct {
-	level  float64
-	moment time.Time
-}
-
-// fill adds the tokens of the time that has passed.
-func (k *Keeper) fill(now time.Time, name string, b *bucket) {
-	passed := now.Sub(b.moment).Seconds()
-	if passed <= 0 {
-		return
-	}
-	b.moment = now
-	l := k.limits[name]
-	b.level = math.Min(math.Max(1, l.Burst*k.part), b.level+l.Rate*k.part*passed)
-}
-
 // Configure takes limits into force.
 func (k *Keeper) Configure(now time.Time, limits map[string]lacewingramp.Limit) {
-	k.fillAll(now)
 	k.limits = limits
 	k.claim(now)
 }
 
 // Members takes in which instances the store lists.
 func (k *Keeper) Members(now time.Time, names []string) {
-	k.fillAll(now)
 	k.members, k.part = names, Part(len(names))
 	k.claim(now)
 }
 
-func (k *Keeper) fillAll(now time.Time) {
-	for name, b := range k.kept {
-		k.fill(now, name, b)
-	}
-}
-
 // claim begins the pools that this instance keeps from now on, and drops those
-// that it keeps no longer.
+// that it keeps no longer. One that it has kept is filled by its old rate first.
 func (k *Keeper) claim(now time.Time) {
-	kept := make(map[string]*bucket)
+	kept := make(map[string]*bucket.Bucket)
 	k.owners = make(map[string]string, len(k.limits))
-	for name := range k.limits {
+	for name, l := range k.limits {
 		k.owners[name] = duty.Owner(dutyPrefix+name, k.members)
 		if k.owners[name] != k.Self {
 			continue
 		}
 		b, ok := k.kept[name]
 		if !ok {
-			b = &bucket{moment: now}
+			b = &bucket.Bucket{Moment: now}
 		}
+		b.Fill(now)
+		b.Rate, b.Most = l.Rate*k.part, math.Max(1, l.Burst*k.part)
 		kept[name] = b
 	}
 	k.kept = kept
@@ -125,14 +103,9 @@
 	if !kept {
 		return 0, false
 	}
-	k.fill(now, customer, b)
-	if b.level >= 1 {
-		b.level--
+	b.Fill(now)
+	if b.Take(0) {
 		return 0, true
 	}
-	rate := k.limits[customer].Rate * k.part
-	if rate <= 0 {
-		return 0, false
-	}
-	return time.Duration(math.Ceil((1 - b.level) / rate * float64(time.Second))), false
+	return b.Wait(), false
 }
--- a/internal/limit/share/share.go
+++ b/internal/limit/share/share.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/limit/bucket"
 )
 
 const (
@@ -88,10 +89,9 @@
 
 // account is one customer's limit at this instance.
 type account struct {
+	bucket.Bucket
 	limit  lacewingramp.Limit
 	part   float64
-	level  float64
-	moment time.Time
 	demand float64
 	seen   time.Time
 	// recent is the demand at the last ticks, the newest last.
@@ -109,28 +109,22 @@
 		l.Burst *= 1 - b.pooled
 		a, ok := known[name]
 		if !ok {
-			a = &account{limit: l, moment: now, seen: now}
+			a = &account{Bucket: bucket.Bucket{Moment: now}, limit: l, seen: now}
 			a.part = b.part(name, a)
-			a.level = math.Min(l.Burst, l.Rate*startTime.Seconds()) * a.part
+			a.Level = math.Min(l.Burst, l.Rate*startTime.Seconds()) * a.part
 		}
-		a.fill(now)
+		a.Fill(now)
 		a.limit = l
-		a.level = math.Min(a.level, a.most())
+		a.size()
+		a.Level = math.Min(a.Level, a.Most)
 		b.accounts[name] = a
 	}
 }
 
-func (a *account) most() float64 {
-	return math.Max(burstLeast, a.limit.Burst*a.part)
-}
-
-func (a *account) fill(now time.Time) {
-	passed := now.Sub(a.moment).Seconds()
-	if passed <= 0 {
-		return
-	}
-	a.moment = now
-	a.level = math.Min(a.most(), a.level+a.limit.Rate*a.part*passed)
+// size brings the bucket in line with the limit and this instance's part.
+func (a *account) size() {
+	a.Rate = a.limit.Rate * a.part
+	a.Most = math.Max(burstLeast, a.limit.Burst*a.part)
 }
 
 // wanted returns the account's demand as it has faded by now.
@@ -147,12 +141,8 @@
 	}
 	a.demand = a.wanted(now) + 1/demandTime.Seconds()
 	a.seen = now
-	a.fill(now)
-	if a.level-1 < b.floor(now, customer, a) {
-		return false
-	}
-	a.level--
-	return true
+	a.Fill(now)
+	return a.Take(b.floor(now, customer, a))
 }
 
 // floor is how far a bucket may be overdrawn: while all instances together
@@ -165,24 +155,23 @@
 	if all > calmPart*a.limit.Rate {
 		return 0
 	}
-	return -a.most()
+	return -a.Most
 }
 
 // Refund gives back what was taken for a request that has not run.
 func (b *Book) Refund(customer string) {
 	if a, ok := b.accounts[customer]; ok {
-		a.level = math.Min(a.most(), a.level+1)
+		a.Level = math.Min(a.Most, a.Level+1)
 	}
 }
 
 // Wait returns how long it takes until there is a token for the customer.
 func (b *Book) Wait(customer string) time.Duration {
 	a, ok := b.accounts[customer]
-	if !ok || a.limit.Rate*a.part <= 0 {
+	if !ok {
 		return 0
 	}
-	lack := math.Max(0, 1-a.level)
-	return time.Duration(lack / (a.limit.Rate * a.part) * float64(time.Second))
+	return a.Wait()
 }
 
 // Demand returns what this instance's callers ask, for the next heartbeat.
@@ -230,16 +219,17 @@
 // Tick works out the parts anew. Tokens change hands with them.
 func (b *Book) Tick(now time.Time) {
 	for name, a := range b.accounts {
-		a.fill(now)
+		a.Fill(now)
 		old := a.part
 		a.recent = append(a.recent, a.wanted(now))
 		if over := len(a.recent) - b.rounds(); over > 0 {
 			a.recent = a.recent[over:]
 		}
 		a.part = b.partAt(now, name, a)
-		if a.part < old && a.level > 0 {
+		a.size()
+		if a.part < old && a.Level > 0 {
 			// An overdraft stays: it was used.
-			a.level *= a.part / old
+			a.Level *= a.part / old
 		}
 	}
 }
@@ -266,7 +256,7 @@
 }
 
 func (b *Book) part(name string, a *account) float64 {
-	return b.partAt(a.moment, name, a)
+	return b.partAt(a.Moment, name, a)
 }
 
 func (b *Book) partAt(now time.Time, name string, a *account) float64 {
