Test parts and pools of limits with one fleet

limit/pool's test had a copy of limit/share's fleet with a keeper added. The fleet can have a pool now, and the four tests of a large fleet stand beside the others, as they speak of both.

--- a/internal/limit/share/share_test.go
+++ b/internal/limit/share/share_test.go
@@ -9,6 +9,7 @@
 	"github.com/onsi/gomega"
 
 	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/limit/pool"
 	"lacewingramp.example/lacewingramp/internal/limit/share"
 	"lacewingramp.example/lacewingramp/internal/proof/window"
 )
@@ -21,48 +22,135 @@
 	span = 5 * time.Second
 )
 
-// fleet is a number of books that exchange their demand.
+// fleet is a number of instances with their parts of one customer's limit, which
+// tell each other their demand. Some have a pool that one of them keeps.
 type fleet struct {
-	books []*share.Book
-	heard [][]bool
-	now   time.Time
-	taken []time.Time
-	asked int
+	limit   lacewingramp.Limit
+	books   []*share.Book
+	keepers []*pool.Keeper
+	heard   [][]bool
+	now     time.Time
+	taken   []time.Time
+	asked   int
+	dealt   int
 	// late is the time between two exchanges, if it is not every heartbeat.
 	late time.Duration
 }
 
 func newFleet(n int, l lacewingramp.Limit) *fleet {
-	f := &fleet{now: start}
+	f := &fleet{limit: l, now: start}
 	for range n {
-		b := &share.Book{}
-		b.Configure(start, map[string]lacewingramp.Limit{"andes": l})
-		b.Instances(n)
-		b.Tick(start)
-		f.books = append(f.books, b)
-		row := make([]bool, n)
-		for i := range row {
-			row[i] = true
-		}
-		f.heard = append(f.heard, row)
+		f.add(n, 0)
 	}
 	return f
 }
 
+// newPooled returns a fleet with a pool.
+func newPooled(n int, l lacewingramp.Limit) *fleet {
+	f := &fleet{limit: l, now: start, late: time.Second}
+	names := members(n)
+	for _, name := range names {
+		f.add(n, pool.Part(n))
+		k := &pool.Keeper{Self: name}
+		k.Configure(start, f.limits())
+		k.Members(start, names)
+		f.keepers = append(f.keepers, k)
+	}
+	return f
+}
+
+func (f *fleet) limits() map[string]lacewingramp.Limit {
+	return map[string]lacewingramp.Limit{"andes": f.limit}
+}
+
+// add adds one of n instances, with a part of the limit in a pool.
+func (f *fleet) add(n int, part float64) {
+	b := &share.Book{}
+	b.Pool(start, part)
+	b.Configure(start, f.limits())
+	b.Instances(n)
+	b.Tick(start)
+	f.books = append(f.books, b)
+	row := make([]bool, n)
+	for i := range row {
+		row[i] = true
+	}
+	f.heard = append(f.heard, row)
+}
+
+func members(n int) (names []string) {
+	for i := range n {
+		names = append(names, fmt.Sprintf("edge-%d", i))
+	}
+	return names
+}
+
+// restart has all instances of a fleet with a pool start anew.
+func (f *fleet) restart() {
+	fresh := newPooled(len(f.books), f.limit)
+	for _, k := range fresh.keepers {
+		k.Members(f.now, nil)
+		k.Members(f.now, members(len(f.books)))
+	}
+	for _, b := range fresh.books {
+		b.Configure(f.now, map[string]lacewingramp.Limit{})
+		b.Configure(f.now, f.limits())
+		b.Tick(f.now)
+	}
+	f.books, f.keepers = fresh.books, fresh.keepers
+}
+
+// ask asks an instance for one request, which may get a token of the pool.
+func (f *fleet) ask(i int) {
+	f.asked++
+	if f.books[i].Take(f.now, "andes") || f.draw() {
+		f.taken = append(f.taken, f.now)
+	}
+}
+
+func (f *fleet) draw() bool {
+	for _, k := range f.keepers {
+		if k.Owner("andes") != k.Self {
+			continue
+		}
+		_, ok := k.Deal(f.now, "andes")
+		if ok {
+			f.dealt++
+		}
+		return ok
+	}
+	return false
+}
+
 // run advances by d with the given requests a second at each instance.
 func (f *fleet) run(r *rand.Rand, d time.Duration, rates []float64) {
-	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(step) {
-		for i, b := range f.books {
-			for n := rates[i] * step.Seconds(); n > 0; n-- {
-				if r.Float64() >= n {
-					continue
-				}
-				f.asked++
-				if b.Take(f.now, "andes") {
-					f.taken = append(f.taken, f.now)
-				}
-			}
+	f.advance(d, func() {
+		for i := range f.books {
+			arrive(r, rates[i], func() { f.ask(i) })
 		}
+	})
+}
+
+// spread advances by d with a rate of requests a second over the first instances.
+func (f *fleet) spread(r *rand.Rand, d time.Duration, rate float64, first int) {
+	f.advance(d, func() {
+		arrive(r, rate, func() { f.ask(r.IntN(first)) })
+	})
+}
+
+// arrive calls f for the requests of one step at a rate.
+func arrive(r *rand.Rand, rate float64, f func()) {
+	for n := rate * step.Seconds(); n > 0; n-- {
+		if r.Float64() < n {
+			f()
+		}
+	}
+}
+
+// advance goes on by d in steps, with what each of them brings.
+func (f *fleet) advance(d time.Duration, arrivals func()) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(step) {
+		arrivals()
 		if f.now.Sub(start)%max(beat, f.late) == 0 {
 			f.exchange()
 		}
@@ -214,3 +302,51 @@
 		gomega.Expect(b.Take(start, "free")).To(gomega.BeTrue())
 	})
 })
+
+// The load of a large fleet: many instances, and customers that ask for less
+// than one request a second at each of them.
+var _ = ginkgo.Describe("a small customer of a large fleet", func() {
+	const (
+		instances = 82
+		busy      = 48
+	)
+	limit := lacewingramp.Limit{Rate: 40, Burst: 40}
+	random := func() *rand.Rand { return rand.New(rand.NewPCG(3, 4)) }
+
+	ginkgo.It("gets nearly all that it asks for below its limit", func() {
+		f := newPooled(instances, limit)
+		r := random()
+		f.spread(r, 3*time.Second, 25, busy)
+		before, asked := len(f.taken), f.asked
+		f.spread(r, 20*time.Second, 25, busy)
+		gomega.Expect(float64(len(f.taken) - before)).To(gomega.BeNumerically(">=", 0.99*float64(f.asked-asked)))
+		gomega.Expect(float64(f.dealt)).To(gomega.BeNumerically("<", 0.9*float64(f.asked)))
+	})
+
+	ginkgo.It("is served again soon after all instances have started anew", func() {
+		f := newPooled(instances, limit)
+		r := random()
+		f.spread(r, 6*time.Second, 25, busy)
+		f.restart()
+		before, asked := len(f.taken), f.asked
+		f.spread(r, 4*time.Second, 25, busy)
+		gomega.Expect(float64(len(f.taken) - before)).To(gomega.BeNumerically(">=", 0.95*float64(f.asked-asked)))
+	})
+
+	ginkgo.It("is held to its limit when it sends several times as much", func() {
+		f := newPooled(instances, limit)
+		r := random()
+		f.spread(r, 6*time.Second, 25, busy)
+		f.spread(r, 8*time.Second, 190, busy)
+		gomega.Expect(float64(window.Most(f.taken, span))).To(gomega.BeNumerically("<=", allowed(limit)))
+	})
+
+	ginkgo.It("is held to its limit when all instances start anew under overload", func() {
+		f := newPooled(instances, limit)
+		r := random()
+		f.spread(r, 8*time.Second, 190, busy)
+		f.restart()
+		f.spread(r, 8*time.Second, 190, busy)
+		gomega.Expect(float64(window.Most(f.taken, span))).To(gomega.BeNumerically("<=", allowed(limit)))
+	})
+})
