Work out what look-ups name once a round, not for every look-up

Cause, read in the diff: each look-up listed and sorted all instances under the lock that requests take too, and hashed names in the sort. Change: the choice is kept by region until the next round of heartbeats, or until an instance is heard to come, to leave or this one starts or ends taking requests.

--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -141,8 +141,9 @@
 	lapsed   map[string]time.Time
 	probes   map[string]*probe
 	// rate is how many requests a second came lately.
-	rate  float64
-	store storeState
+	rate    float64
+	choices choices
+	store   storeState
 }
 
 // New returns an instance.
--- a/internal/entry/edge/edge_beat.go
+++ b/internal/entry/edge/edge_beat.go
@@ -104,7 +104,11 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.Timer.Now()
-	if e.roll.Hear(now, h) {
+	regained := e.roll.Hear(now, h)
+	if regained || h.Endpoint.Leaving {
+		e.choices = choices{}
+	}
+	if regained {
 		e.Log.Info().Str("peer", h.Endpoint.Name).Int64("revision", h.Revision).Msg("heard an instance that was silent")
 	}
 	if h.Endpoint.Name == e.Name {
--- a/internal/entry/edge/edge_look.go
+++ b/internal/entry/edge/edge_look.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"lacewingramp.example/lacewingramp"
@@ -36,23 +38,28 @@
 	e.rate += part * (now - e.rate)
 }
 
+// choices are the instances that look-ups name, by the regions that they may be
+// in. They are worked out anew once a round of heartbeats, and when an instance is
+// heard to come or go: look-ups come more often than that.
+type choices struct {
+	worked time.Time
+	// ready is whether this instance took requests then.
+	ready bool
+	all   map[string][]string
+}
+
 // Lookup says which instances a caller should connect to: those of its own
 // region, or where there are none, those of the regions in which all routes of
 // the host may run, or any.
 func (e *Edge) Lookup(host, region string) (addresses []string, life time.Duration) {
+	homes := e.homes(host)
+	life = time.Duration(float64(e.LookupLife) * lookupPart)
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	now := e.Timer.Now()
-	serving := e.roll.Serving(now)
-	rates := e.roll.Rates(now)
-	rates[e.Name] = e.rate
-	e.mu.Unlock()
-	if e.Ready() {
-		serving = append(serving, e.self)
-	}
-	life = time.Duration(float64(e.LookupLife) * lookupPart)
-	for _, regions := range []lacewingramp.Names{{region}, e.homes(host), nil} {
-		if found := e.inRegions(serving, rates, regions); len(found) > 0 {
-			return found, life
+	for _, regions := range []lacewingramp.Names{{region}, homes, nil} {
+		if found := e.choicesIn(now, regions); len(found) > 0 {
+			return naming.Some(found), life
 		}
 	}
 	return nil, 0
@@ -65,10 +72,33 @@
 	return nil
 }
 
-func (e *Edge) inRegions(all []lacewingramp.Endpoint, rates map[string]float64, regions lacewingramp.Names) []string {
+// choicesIn returns the addresses of all instances in some regions that a look-up
+// may name. The caller holds the lock.
+func (e *Edge) choicesIn(now time.Time, regions lacewingramp.Names) []string {
+	ready := e.Ready()
+	if ready != e.choices.ready || now.Sub(e.choices.worked) >= heartbeat.Period {
+		e.choices = choices{worked: now, ready: ready, all: make(map[string][]string)}
+	}
+	// No regions are any, which is not the region without a name.
+	key := strconv.Itoa(len(regions)) + " " + strings.Join(regions, " ")
+	found, ok := e.choices.all[key]
+	if !ok {
+		found = e.workOut(now, regions, ready)
+		e.choices.all[key] = found
+	}
+	return found
+}
+
+func (e *Edge) workOut(now time.Time, regions lacewingramp.Names, ready bool) []string {
+	serving := e.roll.Serving(now)
+	rates := e.roll.Rates(now)
+	rates[e.Name] = e.rate
+	if ready {
+		serving = append(serving, e.self)
+	}
 	var in []lacewingramp.Endpoint
 	rate := 0.0
-	for _, m := range all {
+	for _, m := range serving {
 		if regions.Allow(e.Regions[m.Domain]) {
 			in = append(in, m)
 			rate += rates[m.Name]
--- a/internal/steer/naming/naming.go
+++ b/internal/steer/naming/naming.go
@@ -8,9 +8,8 @@
 //
 // # Usage
 //
-//	for _, e := range naming.Pick(serving, rate) {
-//		addresses = append(addresses, e.Caller)
-//	}
+//	picked := naming.Pick(serving, rate) // now and then
+//	answer := naming.Some(picked)        // for every look-up
 package naming
 
 import (
@@ -35,19 +34,26 @@
 )
 
 // Pick returns the instances to name, out of those of a region that is asked
-// for rate requests a second. Where more are needed than an answer holds, each
-// answer names some of them at random.
+// for rate requests a second, the largest first.
 func Pick(all []lacewingramp.Endpoint, rate float64) []lacewingramp.Endpoint {
 	all = slices.Clone(all)
 	slices.SortFunc(all, func(a, b lacewingramp.Endpoint) int {
 		return cmp.Or(cmp.Compare(b.Room, a.Room), cmp.Compare(hash(a), hash(b)), cmp.Compare(a.Name, b.Name))
 	})
-	named := all[:enough(all, rate)]
-	if len(named) > Most {
-		rand.Shuffle(len(named), func(i, j int) { named[i], named[j] = named[j], named[i] })
-		named = named[:Most]
+	return all[:enough(all, rate)]
+}
+
+// Some returns what one answer names of what was picked: all, or where an answer
+// does not hold as many, some of them at random.
+func Some[T any](picked []T) []T {
+	if len(picked) <= Most {
+		return picked
+	}
+	some := make([]T, 0, Most)
+	for _, i := range rand.Perm(len(picked))[:Most] {
+		some = append(some, picked[i])
 	}
-	return named
+	return some
 }
 
 // hash orders instances of equal size: a failure domain's do not stand together.
--- a/internal/steer/naming/naming_test.go
+++ b/internal/steer/naming/naming_test.go
@@ -64,8 +64,9 @@
 		all := region(0, 540)
 		seen := make(map[string]int)
 		const answers = 2000
+		needed := naming.Pick(all, 20_000)
 		for range answers {
-			picked := naming.Pick(all, 20_000)
+			picked := naming.Some(needed)
 			gomega.Expect(picked).To(gomega.HaveLen(naming.Most))
 			for _, e := range picked {
 				seen[e.Name]++
