Hear hang-ups until the process ends

Cause: reload gave back its claim on SIGHUP when the first signal to stop came. Ruled out: the end of the stop, memory, look-ups that name large instances. Change: the claim is made first thing and never given back.

--- a/internal/operator/command/cmd_serve.go
+++ b/internal/operator/command/cmd_serve.go
@@ -66,6 +66,7 @@
 
 // serve opens all listeners and runs the instance.
 func (c *cmdServe) serve(s *platform.Settings, m *meter.Meter, log zerolog.Logger) error {
+	hung := hangups()
 	store := &platform.Store{Address: s.Store, Called: m.StoreCall}
 	e := edge.New(edge.Settings{
 		Name: s.Instance, Domain: s.Domain, Region: s.Region, Regions: s.Regions,
@@ -93,7 +94,7 @@
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	go c.reload(ctx, s, log)
+	go c.reload(hung, s, log)
 	log.Info().Str("domain", s.Domain).Str("callers", s.Callers).Str("store", s.Store).Msg("started")
 	return e.Run(ctx)
 }
@@ -118,23 +119,23 @@
 	return nil
 }
 
+// hangups returns the hang-up signals of the process, until it ends: one that
+// nobody waits for would end it, also in the middle of a stop.
+func hangups() <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	return c
+}
+
 // reload reads the settings again at each hang-up signal. A new address needs
 // a new process, so a change of any is only logged.
-func (c *cmdServe) reload(ctx context.Context, old *platform.Settings, log zerolog.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-			s, err := platform.ReadSettings(c.Settings)
-			if err != nil {
-				log.Error().Err(err).Msg("the settings can not be read, the old ones stay in force")
-				continue
-			}
-			log.Info().Bool("moved", s.Callers != old.Callers || s.Store != old.Store).Msg("settings read again")
+func (c *cmdServe) reload(hung <-chan os.Signal, old *platform.Settings, log zerolog.Logger) {
+	for range hung {
+		s, err := platform.ReadSettings(c.Settings)
+		if err != nil {
+			log.Error().Err(err).Msg("the settings can not be read, the old ones stay in force")
+			continue
 		}
+		log.Info().Bool("moved", s.Callers != old.Callers || s.Store != old.Store).Msg("settings read again")
 	}
 }
