Let a route by prefix not end every entry instance

Cause, found while reading what the change promises of the table: a table with two routes by host and prefix passes table check and was given to net/http's patterns as an empty one, which panics in every entry instance that takes it into force. Besides: Names.Allow is slices.Contains, as in the standard library.

--- a/internal/config/index/index.go
+++ b/internal/config/index/index.go
@@ -76,9 +76,14 @@
 	return x
 }
 
+// addRoutes takes in the routes by method and path. Those by host and prefix are
+// config/routing's, and are found by no request here.
 func (x *Index) addRoutes() {
 	for i := range x.Table.Routes {
 		r := &x.Table.Routes[i]
+		if r.Prefix != "" {
+			continue
+		}
 		pattern := r.Method + " " + r.Path
 		x.routes[r.Name] = r
 		x.patterns[pattern] = r
--- a/split.go
+++ b/split.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -57,15 +58,7 @@
 
 // Allow reports whether a name is in the list. An empty list allows all.
 func (n Names) Allow(name string) bool {
-	if len(n) == 0 {
-		return true
-	}
-	for _, one := range n {
-		if one == name {
-			return true
-		}
-	}
-	return false
+	return len(n) == 0 || slices.Contains(n, name)
 }
 
 // Bounds limits what callers may send: Header and Body in bytes, Receive is
