--- a/internal/call/message/message.go
+++ b/internal/call/message/message.go
@@ -10,7 +10,7 @@
 //	r := message.NewReader(conn)
 //	request, err := r.Request(bounds)
 //	...
-//	err = message.WriteRequest(conn, request, header)
+//	_, err = conn.Write(message.AppendRequest(nil, request, header))
 //	answer, err := r.Answer(request.Method)
 package message
 
--- a/internal/limit/share/share.go
+++ b/internal/limit/share/share.go
@@ -11,7 +11,7 @@
 //
 //	var b share.Book
 //	b.Configure(now, limits)
-//	b.Hear(peer, demand)
+//	b.Hear(peer, 1, demand)
 //	if !b.Take(now, customer) {
 //		wait := b.Wait(customer)
 //	}
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -17,11 +17,14 @@
 //	p.Configure(self, services)
 //	p.Update(now, listing)
 //	choice := p.Choose(now, placement.Query{Service: "recipes", Object: "17"})
-//	if choice.Target == nil {
+//	switch {
+//	case choice.Target == nil:
 //		// Refuse: choice.Full tells whether there are targets at all.
+//	case choice.Ask:
+//		// Ask the target whether it is cold, then choose again.
 //	}
 //	...
-//	p.Done(now, placement.Report{Target: choice.Target.Name, Took: took})
+//	p.Done(now, placement.Report{Target: choice.Target.Name, Load: load})
 //
 // A Placer is not safe for use by more than one goroutine.
 package placement
