Send changes along a tree of instances, the largest nearest to the root

Cause: the two watchers were picked by hash alone, there with links of 10 Mbit/s, and sent each table (about 320 KB with 1,400 routes) to 45 and 22 followers at once. No transfer ended within its second, each retry began anew, and the watchers' own calls to the store timed out behind the bulk, so that the next small instance took over. Class of fault: full state sent to all at once over one bounded link.

Change: the instances of a region form a tree with at most six followers each, ordered by capacity, then by hash. An instance only follows one earlier in this order, so that there is no cycle even with different views of the fleet; a test plays that. The old test that all instances follow one of two watchers is replaced: still exactly two watch the store, in two regions, every path leads to one of them, in at most four steps for 300 instances.

Ruled out: requests refused by the reader (no such line), tables that cannot be decoded, targets' answers passed on.

While old and new programs run together their trees differ; an instance that waits in vain catches up by heartbeats, as before.

--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -3,7 +3,7 @@
 // forwards requests from callers directly to targets.
 //
 // All durable state is in the store. An instance mirrors the store's keys. Two
-// instances watch the store, and the others follow one of those two. An instance keeps
+// instances watch the store, and the others follow them in trees. An instance keeps
 // running on its last known state if it can do neither. Heartbeats between instances
 // carry the state for fleet-wide rates, for the guard against requests that crash their
 // targets, and for rollouts.
--- a/internal/entry/edge/edge_follow.go
+++ b/internal/entry/edge/edge_follow.go
@@ -1,8 +1,10 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -90,7 +92,7 @@
 }
 
 // follow keeps the mirror up to date until ctx ends. Two instances watch the store
-// and all others follow one of those two.
+// and all others follow them, directly or by way of others.
 func (e *Edge) follow(ctx context.Context) {
 	backoff := minStoreBackoff
 	needSnapshot := true
@@ -245,49 +247,72 @@
 // maxResponseAge is how long the store counts as available after a response.
 const maxResponseAge = 2 * storeLongPoll
 
+// maxFollowers is the maximum number of instances of the same region that follow one
+// instance. Each follower is sent every change in full.
+const maxFollowers = 6
+
 // peerToFollow returns the address of the peer that self follows, or "" if self
 // watches the store. candidates are the instances that can reach the store.
 //
-// Two candidates watch the store. The first is the owner of watcherKey among all
-// candidates. The second is its owner among the candidates in other regions than the
-// first, or among all other candidates if there is only one region. Any other instance
-// follows the second watcher if they are in the same region, and otherwise the first.
+// The candidates of a region form a tree in which those with more capacity are closer to
+// the root, as the others have slow links. Two roots of different regions watch the
+// store, or two instances if there is only one region. The roots of the other regions
+// follow the first of those two.
+//
+// An instance only follows one that comes before it in an order that is the same for all
+// instances. That excludes cycles, even if they know of different candidates.
 func peerToFollow(self lacewingramp.Endpoint, candidates []lacewingramp.Endpoint, regions map[string]string) string {
-	first, ok := pickWatcher(candidates, func(lacewingramp.Endpoint) bool { return true })
-	if !ok {
+	ranked := rankForFollowing(candidates)
+	if len(ranked) == 0 {
 		return ""
 	}
-	second, ok := pickWatcher(candidates, func(p lacewingramp.Endpoint) bool { return regions[p.Domain] != regions[first.Domain] })
-	if !ok {
-		second, ok = pickWatcher(candidates, func(p lacewingramp.Endpoint) bool { return p.Name != first.Name })
-	}
+	first := ranked[0]
+	region := slices.DeleteFunc(slices.Clone(ranked), func(p lacewingramp.Endpoint) bool { return regions[p.Domain] != regions[self.Domain] })
+	position := slices.IndexFunc(region, func(p lacewingramp.Endpoint) bool { return p.Name == self.Name })
 	switch {
-	case first.Name == self.Name || (ok && second.Name == self.Name):
+	case position < 0 && len(region) == 0:
+		return first.Peer
+	case position < 0:
+		return region[0].Peer
+	case position > 0 && !(position == 1 && len(region) == len(ranked)):
+		return region[(position-1)/maxFollowers].Peer
+	case position > 0 || watchesForRegions(self, ranked, regions):
 		return ""
-	case ok && regions[second.Domain] == regions[self.Domain]:
-		return second.Peer
 	default:
 		return first.Peer
 	}
 }
 
+// watchesForRegions reports whether the root of a region watches the store: the first
+// candidate does, and the first one of another region.
+func watchesForRegions(root lacewingramp.Endpoint, ranked []lacewingramp.Endpoint, regions map[string]string) bool {
+	first := ranked[0]
+	if root.Name == first.Name {
+		return true
+	}
+	second := slices.IndexFunc(ranked, func(p lacewingramp.Endpoint) bool { return regions[p.Domain] != regions[first.Domain] })
+	return second > 0 && ranked[second].Name == root.Name
+}
+
 // watcherKey is the hash key by which all instances agree on who watches the store.
 // It has to be the same in all versions of the program that run together.
 const watcherKey = "watch the store"
 
-// pickWatcher returns the owner of watcherKey among the matching candidates, by
-// rendezvous hashing.
-func pickWatcher(candidates []lacewingramp.Endpoint, match func(lacewingramp.Endpoint) bool) (lacewingramp.Endpoint, bool) {
-	byName := make(map[string]lacewingramp.Endpoint)
-	var names []string
+// rankForFollowing returns the candidates with the largest capacity first, and in the
+// order of watcherKey where capacities are equal.
+func rankForFollowing(candidates []lacewingramp.Endpoint) []lacewingramp.Endpoint {
+	byName := make(map[string]lacewingramp.Endpoint, len(candidates))
+	names := make([]string, 0, len(candidates))
 	for _, p := range candidates {
-		if match(p) {
-			byName[p.Name] = p
-			names = append(names, p.Name)
-		}
+		byName[p.Name] = p
+		names = append(names, p.Name)
+	}
+	ranked := make([]lacewingramp.Endpoint, 0, len(candidates))
+	for _, name := range rendezvous.Order(watcherKey, names) {
+		ranked = append(ranked, byName[name])
 	}
-	p, ok := byName[rendezvous.Owner(watcherKey, names)]
-	return p, ok
+	slices.SortStableFunc(ranked, func(a, b lacewingramp.Endpoint) int { return cmp.Compare(b.Capacity, a.Capacity) })
+	return ranked
 }
 
 // catchUp reads the missing changes from a peer that is at a newer revision. It also
--- a/internal/entry/edge/follow_test.go
+++ b/internal/entry/edge/follow_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
@@ -19,27 +22,98 @@
 		}
 		return all
 	}
-	watchers := func(all []lacewingramp.Endpoint) map[string]int {
-		count := make(map[string]int)
+	// parents returns whom each instance follows, by name, "" for those that watch the store.
+	parents := func(all []lacewingramp.Endpoint) map[string]string {
+		parent := make(map[string]string)
 		for _, self := range all {
-			f := peerToFollow(self, append([]lacewingramp.Endpoint(nil), all...), regions)
-			if f == "" {
-				f = self.Peer
+			parent[self.Name] = strings.TrimSuffix(peerToFollow(self, slices.Clone(all), regions), ":1")
+		}
+		return parent
+	}
+	watchers := func(all []lacewingramp.Endpoint) (count int) {
+		for _, p := range parents(all) {
+			if p == "" {
+				count++
 			}
-			count[f]++
 		}
 		return count
 	}
+	// depth returns the number of steps from an instance to one that watches the store.
+	depth := func(parent map[string]string, name string) int {
+		steps := 0
+		for ; parent[name] != ""; name = parent[name] {
+			steps++
+			gomega.Expect(steps).To(gomega.BeNumerically("<=", len(parent)), "instances follow each other in a circle")
+		}
+		return steps
+	}
 
-	ginkgo.It("is one of two watchers in two regions, at any fleet size", func() {
+	ginkgo.It("leads to one of two watchers in two regions, at any fleet size", func() {
 		for _, n := range []int{3, 8, 69, 300} {
-			gomega.Expect(watchers(fleet(n, "a", "b", "c"))).To(gomega.HaveLen(2), "%d instances", n)
+			all := fleet(n, "a", "b", "c")
+			gomega.Expect(watchers(all)).To(gomega.Equal(2), "%d instances", n)
+			parent := parents(all)
+			domains := make(map[string]bool)
+			for _, p := range all {
+				gomega.Expect(depth(parent, p.Name)).To(gomega.BeNumerically("<=", 4), "%d instances", n)
+				if parent[p.Name] == "" {
+					domains[p.Domain] = true
+				}
+			}
+			gomega.Expect(domains).To(gomega.HaveLen(2), "%d instances", n)
 		}
 	})
 
-	ginkgo.It("is one of two watchers in a single region, and none for a single instance", func() {
-		gomega.Expect(watchers(fleet(5, "a"))).To(gomega.HaveLen(1 + 1))
-		gomega.Expect(watchers(fleet(1, "a"))).To(gomega.HaveLen(1))
+	ginkgo.It("leads to one of two watchers in a single region, and none for a single instance", func() {
+		gomega.Expect(watchers(fleet(5, "a"))).To(gomega.Equal(2))
+		gomega.Expect(watchers(fleet(1, "a"))).To(gomega.Equal(1))
+	})
+
+	// Guards against callers refused by instances with an old table: two instances with
+	// slow links sent each table to all others at once, and none of the transfers ended
+	// in time.
+	ginkgo.It("sends changes to few others, and has more capacity than those that follow it", func() {
+		for _, n := range []int{3, 8, 69, 82, 300, 1600} {
+			all := fleet(n, "a", "b", "c")
+			capacity := make(map[string]int)
+			for i := range all {
+				if i%6 == 0 {
+					all[i].Capacity = 20
+				}
+				capacity[all[i].Name] = all[i].Capacity
+			}
+			followers := make(map[string]int)
+			for name, p := range parents(all) {
+				if p == "" {
+					continue
+				}
+				followers[p]++
+				gomega.Expect(capacity[p]).To(gomega.BeNumerically(">=", capacity[name]), "%s follows %s", name, p)
+			}
+			for name, count := range followers {
+				// The first watcher also has the root of the third region.
+				gomega.Expect(count).To(gomega.BeNumerically("<=", maxFollowers+1), "%s of %d instances", name, n)
+			}
+		}
+	})
+
+	// Guards against instances that wait for each other's changes.
+	ginkgo.It("forms no circle, whatever part of the fleet each instance knows", func() {
+		for seed := range uint64(200) {
+			r := rand.New(rand.NewPCG(seed, 3))
+			all := fleet(40, "a", "b", "c")
+			for i := range all {
+				all[i].Capacity = 10 * r.IntN(3)
+			}
+			parent := make(map[string]string)
+			for _, self := range all {
+				known := slices.DeleteFunc(slices.Clone(all), func(p lacewingramp.Endpoint) bool { return p.Name != self.Name && r.IntN(3) == 0 })
+				parent[self.Name] = strings.TrimSuffix(peerToFollow(self, known, regions), ":1")
+			}
+			for _, p := range all {
+				depth(parent, p.Name)
+			}
+		}
 	})
 
 	ginkgo.It("is another instance if this one cannot reach the store, and none if no instance can", func() {
--- a/internal/peer/rendezvous/rendezvous.go
+++ b/internal/peer/rendezvous/rendezvous.go
@@ -10,7 +10,12 @@
 //	}
 package rendezvous
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Owner returns the name of the instance that owns the task called key, or "" if
 // names is empty.
@@ -24,6 +29,20 @@
 	return owner
 }
 
+// Order returns the names in the order in which they would own the task called key, the
+// owner first.
+func Order(key string, names []string) []string {
+	weights := make(map[string]uint64, len(names))
+	for _, n := range names {
+		weights[n] = weight(key, n)
+	}
+	ordered := slices.Clone(names)
+	slices.SortFunc(ordered, func(a, b string) int {
+		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a, b))
+	})
+	return ordered
+}
+
 func weight(key, name string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
