Spread catching up over all instances that are ahead

Cause: an instance that lagged caught up from the one at the highest revision, so that all that lagged read from the same one.

Change: of the instances that are ahead, each takes one by rendezvous hashing with its own name and the number of its attempt, so that the load is spread and a bad choice is not repeated. The new test fails before: the one with the highest revision is chosen every time.

--- a/internal/peer/heartbeat/heartbeat_test.go
+++ b/internal/peer/heartbeat/heartbeat_test.go
@@ -103,6 +103,26 @@
 		}
 	})
 
+	// Guards against instances that all catch up from the same peer, which can then serve
+	// none of them in time.
+	ginkgo.It("spreads the instances that are behind over those that are ahead", func() {
+		chosen := make(map[string]int)
+		for i := range 60 {
+			p := heartbeat.Peers{Self: fmt.Sprint("behind-", i)}
+			for j := range 10 {
+				h := newHeartbeat(fmt.Sprint("ahead-", j), 1, int64(9+j))
+				h.Endpoint.Peer = fmt.Sprint("127.0.0.1:", 2+j)
+				p.Record(start, h)
+			}
+			first := p.AheadOf(start, 8, 0)
+			chosen[first]++
+			gomega.Expect([]string{p.AheadOf(start, 8, 0), p.AheadOf(start, 8, 0), p.AheadOf(start, 8, 0)}).NotTo(gomega.HaveEach(first))
+		}
+		for address, count := range chosen {
+			gomega.Expect(count).To(gomega.BeNumerically("<", 20), address)
+		}
+	})
+
 	ginkgo.It("finds an instance with a higher store revision, after the given time", func() {
 		p := heartbeat.Peers{Self: "one"}
 		p.Record(start, newHeartbeat("two", 1, 9))
--- a/internal/peer/heartbeat/peers.go
+++ b/internal/peer/heartbeat/peers.go
@@ -2,9 +2,11 @@
 
 import (
 	"sort"
+	"strconv"
 	"time"
 
 	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/peer/rendezvous"
 )
 
 const (
@@ -40,6 +42,8 @@
 	all map[string]*member
 	// groups is indexed by sameRegion and otherRegions.
 	groups [2]group
+	// catchUps is the number of addresses that AheadOf has returned.
+	catchUps int
 }
 
 // group is a set of instances that heartbeats are sent to in rotation. last is the
@@ -303,12 +307,13 @@
 	return 1 + p.count(func(m *member) bool { return m.listed || p.alive(now, m) })
 }
 
-// AheadOf returns the address of the live instance with the highest store
-// revision, out of those whose revision has been higher than the given one for
-// at least minDuration, or "" if there is none.
+// AheadOf returns the address of a live instance whose store revision has been higher
+// than the given one for at least minDuration, or "" if there is none. Different
+// instances get different ones of them, and so does the same instance at its next
+// attempt, so that no single one has to serve all that are behind.
 func (p *Peers) AheadOf(now time.Time, revision int64, minDuration time.Duration) (address string) {
-	best := revision
-	for _, m := range p.all {
+	var ahead []string
+	for name, m := range p.all {
 		if m.revision <= revision {
 			m.aheadSince = time.Time{}
 			continue
@@ -316,9 +321,13 @@
 		if m.aheadSince.IsZero() {
 			m.aheadSince = now
 		}
-		if p.alive(now, m) && m.revision > best && now.Sub(m.aheadSince) >= minDuration {
-			best, address = m.revision, m.Peer
+		if p.alive(now, m) && now.Sub(m.aheadSince) >= minDuration {
+			ahead = append(ahead, name)
 		}
 	}
-	return address
+	if len(ahead) == 0 {
+		return ""
+	}
+	p.catchUps++
+	return p.all[rendezvous.Owner(p.Self+" "+strconv.Itoa(p.catchUps), ahead)].Peer
 }
