Peer follower: end a transfer for lack of progress

Change: the reply is sent in pieces of 16 KiB, each with a deadline of 1 s. The client waits for the first byte as long as before; each read that brings bytes then renews its deadline to 1 s. A transfer takes 20 s at most: 45 followers of one link need about 11.5 s for 14.4 MB (by arithmetic). Replies over 64 MiB are refused. ChangeFeed.Receiving reports a transfer that makes progress, so that who interrupts calls can spare it; nothing calls it yet.

--- a/internal/peer/follower/follower.go
+++ b/internal/peer/follower/follower.go
@@ -3,7 +3,8 @@
 // instance that cannot reach the store.
 //
 // Changes are read by long polling: the peer holds a query until there is a change
-// or the query's wait time is over. A connection carries one query at a time.
+// or the query's wait time is over. A connection carries one query at a time. A reply
+// may take long over a busy link: it is given up when it makes no progress.
 //
 // # Usage
 //
@@ -27,9 +28,6 @@
 
 const (
 	dialTimeout = 500 * time.Millisecond
-	// callTimeout is the maximum time for a call beyond the query's wait time, and
-	// for sending a reply.
-	callTimeout = time.Second
 	// maxWait is the longest time for which the server holds a query, whatever wait
 	// time the query states.
 	maxWait = 10 * time.Second
@@ -83,7 +81,7 @@
 // error, after which the client opens a new one.
 func serveConn(c net.Conn, s Source) {
 	defer func() { _ = c.Close() }()
-	decoder, encoder := cbor.NewDecoder(c), cbor.NewEncoder(c)
+	decoder := cbor.NewDecoder(c)
 	for {
 		_ = c.SetReadDeadline(time.Now().Add(idleTimeout))
 		var q query
@@ -91,8 +89,8 @@
 			return
 		}
 		waitForChange(q, s)
-		_ = c.SetWriteDeadline(time.Now().Add(callTimeout))
-		if err := encoder.Encode(newReply(q, s)); err != nil {
+		encoded, err := cbor.Marshal(newReply(q, s))
+		if err != nil || writePieces(c, encoded) != nil {
 			return
 		}
 	}
@@ -134,10 +132,13 @@
 }
 
 // ChangeFeed reads the store's keys from the instance at Address. Its methods must not
-// be called concurrently, except for Close.
+// be called concurrently, except for Close and Receiving.
 type ChangeFeed struct {
 	Address string
 
+	limits   limits
+	progress progress
+
 	mu   sync.Mutex
 	conn net.Conn
 }
@@ -172,6 +173,13 @@
 	return r.Changes, r.Revision, nil
 }
 
+// Receiving reports whether a reply is being received and makes progress. It is false
+// before the first byte of a reply, after its last, and when no bytes have come for
+// longer than progressTimeout.
+func (f *ChangeFeed) Receiving() bool {
+	return f.progress.within(f.limits.withDefaults().progress)
+}
+
 // Close closes the connection and aborts a pending query. The next query opens
 // a new connection.
 func (f *ChangeFeed) Close() {
@@ -207,12 +215,14 @@
 	}
 	stop := context.AfterFunc(ctx, f.Close)
 	defer stop()
-	_ = c.SetDeadline(time.Now().Add(q.Wait + callTimeout))
+	defer f.progress.end()
+	l := f.limits.withDefaults()
+	_ = c.SetDeadline(time.Now().Add(q.Wait + l.call))
 	if err := cbor.NewEncoder(c).Encode(q); err != nil {
 		f.Close()
 		return r, errors.Wrap(err, "send a query to a peer")
 	}
-	if err := cbor.NewDecoder(c).Decode(&r); err != nil {
+	if err := cbor.NewDecoder(&replyReader{conn: c, limits: l, progress: &f.progress}).Decode(&r); err != nil {
 		f.Close()
 		return r, errors.Wrap(err, "read a peer's reply")
 	}
