Don't break off a peer's reply that is arriving in order to catch up

Callers saw 404 and 401 for routes and keys that had been added seconds before, on deployments with links of 10 Mbit/s.

Cause: an instance that hears of a newer revision for 200 ms breaks off its call to the followed peer, avoids that peer for two seconds and asks the one that is furthest ahead. On a small link a table takes longer than 200 ms, so the transfer that was under way was dropped and started over, by most followers at once and at the same peer. Class of fault: a watchdog that takes slow progress for none.

Evidence: the new test fails before ("Expected <string>: to equal <string>: 127.0.0.1:41377", the peer was left while its reply arrived). A second test holds that a peer that sends nothing is still left; it passes before too.

The call is kept while a reply is arriving. The limits of a reply stay: one second without progress, ten seconds in all.

--- /dev/null
+++ b/internal/entry/edge/catchup_test.go
@@ -0,0 +1,81 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/timer/wall"
+)
+
+// startSlowPeer starts a peer that answers a query with the given revision. It sends
+// the first byte of its reply at once and the others when rest is closed.
+func startSlowPeer(revision int64, rest <-chan struct{}) string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(l.Close)
+	reply, err := cbor.Marshal(map[int]any{1: []any{}, 2: revision})
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		var query any
+		_ = cbor.NewDecoder(c).Decode(&query)
+		_, _ = c.Write(reply[:1])
+		<-rest
+		_, _ = c.Write(reply[1:])
+	}()
+	return l.Addr().String()
+}
+
+var _ = ginkgo.Describe("an instance that is behind its peers", func() {
+	const behind, ahead = int64(5), int64(9)
+	var e *Edge
+	now := time.Now()
+	ginkgo.BeforeEach(func() {
+		e = New(Settings{Name: "self", Domain: "a", Region: "north", Regions: map[string]string{"a": "north"}},
+			Dependencies{Timer: wall.Timer{}, Log: zerolog.Nop()})
+		e.peers.Record(now, &lacewingramp.Heartbeat{
+			Endpoint: lacewingramp.Endpoint{Name: "other", Domain: "a", Peer: "127.0.0.1:1"}, Revision: ahead,
+		})
+	})
+
+	// Guards against a table that never arrives on a small link, because its transfer is
+	// broken off and starts over at another peer.
+	ginkgo.It("lets a reply that is arriving from the followed peer end", func(ctx context.Context) {
+		rest := make(chan struct{})
+		address := startSlowPeer(behind, rest)
+		e.store.followAddress = address
+		callCtx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		feed, _ := e.feed(cancel)
+		pulled := make(chan error, 1)
+		go func() { pulled <- e.pull(callCtx, feed, true) }()
+		gomega.Eventually(e.store.peerFeed.Receiving, 5*time.Second).Should(gomega.BeTrue())
+		e.catchUp(ctx, now)
+		e.catchUp(ctx, now.Add(catchUpDelay))
+		close(rest)
+		gomega.Eventually(pulled, 5*time.Second).Should(gomega.Receive(gomega.BeNil()))
+		gomega.Expect(e.store.followAddress).To(gomega.Equal(address))
+		gomega.Expect(e.mirror.Revision()).To(gomega.Equal(behind))
+	})
+
+	ginkgo.It("leaves a followed peer that sends nothing", func(ctx context.Context) {
+		e.store.followAddress = "127.0.0.1:1"
+		interrupted := false
+		e.feed(func() { interrupted = true })
+		e.catchUp(ctx, now)
+		gomega.Expect(interrupted).To(gomega.BeFalse())
+		e.catchUp(ctx, now.Add(catchUpDelay))
+		gomega.Expect(interrupted).To(gomega.BeTrue())
+		gomega.Expect(e.store.followAddress).To(gomega.BeEmpty())
+	})
+})
--- a/internal/entry/edge/edge_follow.go
+++ b/internal/entry/edge/edge_follow.go
@@ -315,13 +315,21 @@
 	return ranked
 }
 
+// receivesChanges reports whether a reply of the followed peer is arriving. The caller
+// must hold e.mu.
+func (e *Edge) receivesChanges() bool {
+	return e.store.followAddress != "" && e.store.peerFeed != nil && e.store.peerFeed.Receiving()
+}
+
 // catchUp reads the missing changes from a peer that is at a newer revision. It also
 // interrupts the call that waits for changes, because its connection may be dead, and
-// avoids the peer that was followed.
+// avoids the peer that was followed. It does nothing while a reply of that peer is
+// arriving: the changes are on their way, and another peer would send them from the
+// first byte on.
 func (e *Edge) catchUp(ctx context.Context, now time.Time) {
 	e.mu.Lock()
 	address := e.peers.AheadOf(now, e.mirror.Revision(), catchUpDelay)
-	if address == "" || e.store.catchingUp {
+	if address == "" || e.store.catchingUp || e.receivesChanges() {
 		e.mu.Unlock()
 		return
 	}
