Send followers only the latest change of each key

Callers saw 404 and 401 for routes and keys that had been added seconds before, on large deployments while tables came in quick succession.

Cause: Mirror.Since returned every change after the follower's revision, also those that a later one of the same key supersedes. A table is a single key and is written whole, so a follower that was a dozen tables behind got a dozen tables. Class of fault: a queue of whole states, of which only the last is of use, on a link that is too small for them; whoever is late falls further behind.

Evidence: the new test fails before ("Expected ... len:6 ... to equal ... len:3").

Since now returns the last change of each key.

As a follower then gets a deletion without the key, a deletion of an unknown key counts as a change as well, so that it reaches the followers' own followers; a second test fails without that.

--- a/internal/config/mirror/mirror.go
+++ b/internal/config/mirror/mirror.go
@@ -143,7 +143,8 @@
 }
 
 // isNew reports whether a change is newer than the mirror's revision of its key, or,
-// for a key that the mirror does not have, newer than the mirror. A deletion may
+// for a key that the mirror does not have, newer than the mirror. That holds also for a
+// deletion, as a follower may have the key. A deletion may
 // have the same revision as the key: if a key is missing from a snapshot,
 // ApplySnapshot sets the revision of its deletion to the snapshot's, which can also be
 // that of the key's last write.
@@ -151,7 +152,7 @@
 	known, ok := m.keyValues[c.Key]
 	switch {
 	case !ok:
-		return !c.Deleted && c.Revision > m.revision
+		return c.Revision > m.revision
 	case c.Deleted:
 		return c.Revision >= known.Revision
 	default:
@@ -175,12 +176,27 @@
 	}
 }
 
-// Since returns the changes after a revision and the mirror's revision. It returns
-// false if the log does not reach back to that revision.
+// Since returns the latest change of each key after a revision, and the mirror's
+// revision. It returns false if the log does not reach back to that revision.
 func (m *Mirror) Since(after int64) ([]lacewingramp.Change, int64, bool) {
 	if after < m.logStart || m.keyValues == nil {
 		return nil, m.revision, false
 	}
 	first := sort.Search(len(m.log), func(i int) bool { return m.log[i].Revision > after })
-	return append([]lacewingramp.Change(nil), m.log[first:]...), m.revision, true
+	return latest(m.log[first:]), m.revision, true
+}
+
+// latest returns the changes that no later one of the same key supersedes, in order.
+func latest(changes []lacewingramp.Change) []lacewingramp.Change {
+	last := make(map[string]int, len(changes))
+	for i, c := range changes {
+		last[c.Key] = i
+	}
+	list := make([]lacewingramp.Change, 0, len(last))
+	for i, c := range changes {
+		if last[c.Key] == i {
+			list = append(list, c)
+		}
+	}
+	return list
 }
--- a/internal/config/mirror/mirror_test.go
+++ b/internal/config/mirror/mirror_test.go
@@ -98,6 +98,41 @@
 		gomega.Expect(keyValues).To(gomega.ConsistOf(states[60]))
 	})
 
+	// Guards against a follower that gets every superseded value of a large key and
+	// never catches up.
+	ginkgo.It("gives followers only the latest change of each key", func() {
+		var m mirror.Mirror
+		m.ApplySnapshot([]lacewingramp.KeyValue{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}}, 2)
+		change := func(key string, revision int64, deleted bool) lacewingramp.Change {
+			return lacewingramp.Change{KeyValue: lacewingramp.KeyValue{Key: key, Revision: revision}, Deleted: deleted}
+		}
+		m.Apply([]lacewingramp.Change{change("a", 3, false), change("b", 4, true), change("a", 5, false), change("c", 6, false), change("b", 7, false), change("c", 8, true)}, 8)
+		all, revision, ok := m.Since(2)
+		gomega.Expect(ok).To(gomega.BeTrue())
+		gomega.Expect(revision).To(gomega.Equal(int64(8)))
+		gomega.Expect(all).To(gomega.Equal([]lacewingramp.Change{change("a", 5, false), change("b", 7, false), change("c", 8, true)}))
+	})
+
+	// Guards against a follower that keeps a deleted key, because the mirror that it
+	// follows was told of the deletion only, and not of the key.
+	ginkgo.It("gives followers the deletion of a key that it never had", func() {
+		key := lacewingramp.KeyValue{Key: "a", Revision: 3}
+		deletion := lacewingramp.Change{KeyValue: lacewingramp.KeyValue{Key: "a", Revision: 5}, Deleted: true}
+		var watcher, between, follower mirror.Mirror
+		for _, m := range []*mirror.Mirror{&watcher, &between, &follower} {
+			m.ApplySnapshot(nil, 2)
+		}
+		follower.Apply([]lacewingramp.Change{{KeyValue: key}}, 4)
+		watcher.Apply([]lacewingramp.Change{{KeyValue: key}, deletion}, 5)
+		for _, step := range []struct{ from, to *mirror.Mirror }{{&watcher, &between}, {&between, &follower}} {
+			changes, revision, ok := step.from.Since(step.to.Revision())
+			gomega.Expect(ok).To(gomega.BeTrue())
+			step.to.Apply(changes, revision)
+		}
+		keyValues, _ := follower.Snapshot()
+		gomega.Expect(keyValues).To(gomega.BeEmpty())
+	})
+
 	ginkgo.It("reports the deletion of a key that is missing from a later snapshot", func() {
 		var m mirror.Mirror
 		m.ApplySnapshot([]lacewingramp.KeyValue{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}}, 2)
