Follow the store by epoch and revision

Cause: positions in the store's history were bare revisions, and a restored store gives revisions out again. Class of fault: the order of states taken from a counter that does not only rise.

Change: a position is an epoch and a revision. The epoch comes from the store's responses (platform), and goes along in heartbeats and in what followers read. A change of the epoch makes an instance read all keys; the mirror takes them whatever their revisions, and late responses of the earlier epoch are ignored. Followers still get only the differences: the log notes a position for each change, and the jumps over changes that were not seen one by one. A follower in the middle of a jump reads all keys. The mirror marks the changes that only return a key to an earlier state, for the next commits.

Old and new programs run together: a position without an epoch is taken to be in the reader's epoch.

Ruled out: leases renewed under somebody else's (no such line in the logs).

--- a/heartbeat.go
+++ b/heartbeat.go
@@ -4,7 +4,8 @@
 // second. It fits into one datagram. It carries state rather than changes, so that
 // the next heartbeat makes up for a lost one.
 //
-// Revision is the revision of the store up to which the instance has read.
+// Revision and Epoch are the position in the store's history up to which the instance
+// has read.
 // ReachesStore is set if the store answers the instance's calls. WatchesStore is
 // set if the instance watches the store itself, rather than following a peer, and
 // its watch was answered recently. Within a region, Demand is the demand of the
@@ -25,11 +26,17 @@
 	// RequestRate is the rate at which the instance currently receives requests, in
 	// requests per second.
 	RequestRate float32 `cbor:"11,keyasint,omitempty"`
+	Epoch       int64   `cbor:"12,keyasint,omitempty"`
+}
+
+// Position returns the position in the store's history up to which the instance has read.
+func (h *Heartbeat) Position() Position {
+	return Position{Epoch: h.Epoch, Revision: h.Revision}
 }
 
 // Check returns an error for a heartbeat that no instance sends.
 func (h *Heartbeat) Check() error {
-	if h.Revision < 0 {
+	if h.Revision < 0 || h.Epoch < 0 {
 		return &InvalidValueError{Kind: "revision", Name: h.Endpoint.Name}
 	}
 	return h.Endpoint.Check()
--- a/internal/config/mirror/mirror_test.go
+++ b/internal/config/mirror/mirror_test.go
@@ -11,6 +11,11 @@
 	"lacewingramp.example/lacewingramp/internal/config/mirror"
 )
 
+// at returns a position without an epoch.
+func at(revision int64) lacewingramp.Position {
+	return lacewingramp.Position{Revision: revision}
+}
+
 // history returns n random changes of a few keys, and for each revision from 0 on
 // the keys that exist at it, with their values.
 func history(n int) ([]lacewingramp.Change, [][]lacewingramp.KeyValue) {
@@ -44,26 +49,26 @@
 		for seed := range uint64(200) {
 			r := rand.New(rand.NewPCG(seed, 7))
 			var m, follower mirror.Mirror
-			m.ApplySnapshot(states[3], 3)
-			follower.ApplySnapshot(states[3], 3)
-			last := int64(0)
-			for m.Revision() < n {
+			m.ApplySnapshot(states[3], at(3))
+			follower.ApplySnapshot(states[3], at(3))
+			last := int64(3)
+			for last < n {
 				switch r.IntN(3) {
 				case 0:
-					at := r.IntN(n + 1)
-					m.ApplySnapshot(states[at], int64(at))
+					snapshot := r.IntN(n + 1)
+					m.ApplySnapshot(states[snapshot], at(int64(snapshot)))
 				default:
-					from := r.IntN(int(m.Revision()) + 1)
-					to := min(n, int(m.Revision())+r.IntN(4))
-					m.Apply(changes[from:to], int64(to))
+					from := r.IntN(int(last) + 1)
+					to := min(n, int(last)+r.IntN(4))
+					m.Apply(changes[from:to], at(int64(to)))
 				}
-				gomega.Expect(m.Revision()).To(gomega.BeNumerically(">=", last))
-				last = m.Revision()
+				gomega.Expect(m.Position().Revision).To(gomega.BeNumerically(">=", last))
+				last = m.Position().Revision
 				keyValues, _ := m.Snapshot()
 				gomega.Expect(keyValues).To(gomega.ConsistOf(states[last]), "seed %d revision %d", seed, last)
-				changes, revision, ok := m.Since(follower.Revision())
+				changes, position, ok := m.Since(follower.Position())
 				gomega.Expect(ok).To(gomega.BeTrue())
-				follower.Apply(changes, revision)
+				follower.Apply(changes, position)
 				keyValues, _ = follower.Snapshot()
 				gomega.Expect(keyValues).To(gomega.ConsistOf(states[last]), "follower, seed %d revision %d", seed, last)
 			}
@@ -73,12 +78,12 @@
 	ginkgo.It("gives followers the changes of a snapshot, so that they need not read all keys", func() {
 		_, states := history(60)
 		var m, follower mirror.Mirror
-		m.ApplySnapshot(states[10], 10)
-		follower.ApplySnapshot(states[10], 10)
-		m.ApplySnapshot(states[50], 50)
-		all, revision, ok := m.Since(10)
+		m.ApplySnapshot(states[10], at(10))
+		follower.ApplySnapshot(states[10], at(10))
+		m.ApplySnapshot(states[50], at(50))
+		all, position, ok := m.Since(at(10))
 		gomega.Expect(ok).To(gomega.BeTrue())
-		follower.Apply(all, revision)
+		follower.Apply(all, position)
 		keyValues, _ := follower.Snapshot()
 		gomega.Expect(keyValues).To(gomega.ConsistOf(states[50]))
 	})
@@ -86,14 +91,14 @@
 	ginkgo.It("gives followers all changes after a revision, or reports that it lacks some", func() {
 		changes, states := history(60)
 		var m, follower mirror.Mirror
-		m.ApplySnapshot(states[10], 10)
-		_, _, ok := m.Since(9)
+		m.ApplySnapshot(states[10], at(10))
+		_, _, ok := m.Since(at(9))
 		gomega.Expect(ok).To(gomega.BeFalse())
-		follower.ApplySnapshot(states[10], 10)
-		m.Apply(changes[10:], 60)
-		all, revision, ok := m.Since(10)
+		follower.ApplySnapshot(states[10], at(10))
+		m.Apply(changes[10:], at(60))
+		all, position, ok := m.Since(at(10))
 		gomega.Expect(ok).To(gomega.BeTrue())
-		follower.Apply(all, revision)
+		follower.Apply(all, position)
 		keyValues, _ := follower.Snapshot()
 		gomega.Expect(keyValues).To(gomega.ConsistOf(states[60]))
 	})
@@ -102,14 +107,14 @@
 	// never catches up.
 	ginkgo.It("gives followers only the latest change of each key", func() {
 		var m mirror.Mirror
-		m.ApplySnapshot([]lacewingramp.KeyValue{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}}, 2)
+		m.ApplySnapshot([]lacewingramp.KeyValue{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}}, at(2))
 		change := func(key string, revision int64, deleted bool) lacewingramp.Change {
 			return lacewingramp.Change{KeyValue: lacewingramp.KeyValue{Key: key, Revision: revision}, Deleted: deleted}
 		}
-		m.Apply([]lacewingramp.Change{change("a", 3, false), change("b", 4, true), change("a", 5, false), change("c", 6, false), change("b", 7, false), change("c", 8, true)}, 8)
-		all, revision, ok := m.Since(2)
+		m.Apply([]lacewingramp.Change{change("a", 3, false), change("b", 4, true), change("a", 5, false), change("c", 6, false), change("b", 7, false), change("c", 8, true)}, at(8))
+		all, position, ok := m.Since(at(2))
 		gomega.Expect(ok).To(gomega.BeTrue())
-		gomega.Expect(revision).To(gomega.Equal(int64(8)))
+		gomega.Expect(position).To(gomega.Equal(at(8)))
 		gomega.Expect(all).To(gomega.Equal([]lacewingramp.Change{change("a", 5, false), change("b", 7, false), change("c", 8, true)}))
 	})
 
@@ -120,14 +125,14 @@
 		deletion := lacewingramp.Change{KeyValue: lacewingramp.KeyValue{Key: "a", Revision: 5}, Deleted: true}
 		var watcher, between, follower mirror.Mirror
 		for _, m := range []*mirror.Mirror{&watcher, &between, &follower} {
-			m.ApplySnapshot(nil, 2)
+			m.ApplySnapshot(nil, at(2))
 		}
-		follower.Apply([]lacewingramp.Change{{KeyValue: key}}, 4)
-		watcher.Apply([]lacewingramp.Change{{KeyValue: key}, deletion}, 5)
+		follower.Apply([]lacewingramp.Change{{KeyValue: key}}, at(4))
+		watcher.Apply([]lacewingramp.Change{{KeyValue: key}, deletion}, at(5))
 		for _, step := range []struct{ from, to *mirror.Mirror }{{&watcher, &between}, {&between, &follower}} {
-			changes, revision, ok := step.from.Since(step.to.Revision())
+			changes, position, ok := step.from.Since(step.to.Position())
 			gomega.Expect(ok).To(gomega.BeTrue())
-			step.to.Apply(changes, revision)
+			step.to.Apply(changes, position)
 		}
 		keyValues, _ := follower.Snapshot()
 		gomega.Expect(keyValues).To(gomega.BeEmpty())
@@ -135,8 +140,8 @@
 
 	ginkgo.It("reports the deletion of a key that is missing from a later snapshot", func() {
 		var m mirror.Mirror
-		m.ApplySnapshot([]lacewingramp.KeyValue{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}}, 2)
-		applied := m.ApplySnapshot([]lacewingramp.KeyValue{{Key: "b", Revision: 2}}, 5)
+		m.ApplySnapshot([]lacewingramp.KeyValue{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}}, at(2))
+		applied := m.ApplySnapshot([]lacewingramp.KeyValue{{Key: "b", Revision: 2}}, at(5))
 		gomega.Expect(applied).To(gomega.HaveLen(1))
 		gomega.Expect(applied[0].Key).To(gomega.Equal("a"))
 		gomega.Expect(applied[0].Deleted).To(gomega.BeTrue())
--- a/internal/entry/edge/catchup_test.go
+++ b/internal/entry/edge/catchup_test.go
@@ -65,7 +65,7 @@
 		close(rest)
 		gomega.Eventually(pulled, 5*time.Second).Should(gomega.Receive(gomega.BeNil()))
 		gomega.Expect(e.store.followAddress).To(gomega.Equal(address))
-		gomega.Expect(e.mirror.Revision()).To(gomega.Equal(behind))
+		gomega.Expect(e.mirror.Position().Revision).To(gomega.Equal(behind))
 	})
 
 	ginkgo.It("leaves a followed peer that sends nothing", func(ctx context.Context) {
--- a/internal/entry/edge/edge_events.go
+++ b/internal/entry/edge/edge_events.go
@@ -133,7 +133,7 @@
 		}
 		if now.After(until) {
 			delete(e.expired, name)
-			e.removeTarget(now, name, e.mirror.Revision())
+			e.removeTarget(now, name, e.mirror.Position().Revision)
 		}
 	}
 }
--- a/internal/entry/edge/edge_follow.go
+++ b/internal/entry/edge/edge_follow.go
@@ -73,13 +73,13 @@
 // mirrorSource serves the mirror to the peers that follow this instance.
 type mirrorSource struct{ e *Edge }
 
-func (s mirrorSource) Snapshot() ([]lacewingramp.KeyValue, int64) {
+func (s mirrorSource) Snapshot() ([]lacewingramp.KeyValue, lacewingramp.Position) {
 	s.e.mu.Lock()
 	defer s.e.mu.Unlock()
 	return s.e.mirror.Snapshot()
 }
 
-func (s mirrorSource) Since(after int64) ([]lacewingramp.Change, int64, bool) {
+func (s mirrorSource) Since(after lacewingramp.Position) ([]lacewingramp.Change, lacewingramp.Position, bool) {
 	s.e.mu.Lock()
 	defer s.e.mu.Unlock()
 	return s.e.mirror.Since(after)
@@ -165,32 +165,41 @@
 // snapshot if needSnapshot is set or the mirror is empty.
 func (e *Edge) pull(ctx context.Context, f lacewingramp.ChangeFeed, needSnapshot bool) error {
 	e.mu.Lock()
-	after := e.mirror.Revision()
+	after := e.mirror.Position()
 	e.mu.Unlock()
 	wait := storeLongPoll
 	if _, ok := f.(*follower.ChangeFeed); ok {
 		wait = peerLongPoll
 	}
-	if !needSnapshot && after > 0 {
-		changes, revision, err := f.Changes(ctx, after, wait)
+	if !needSnapshot && after.Revision > 0 {
+		changes, position, err := f.Changes(ctx, after, wait)
 		if err != nil {
 			return err
 		}
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		e.apply(e.mirror.Apply(changes, revision))
+		e.update(func() []lacewingramp.Change { return e.mirror.Apply(changes, position) })
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
-	keyValues, revision, err := f.Snapshot(ctx)
+	keyValues, position, err := f.Snapshot(ctx)
 	if err != nil {
 		return err
 	}
+	e.update(func() []lacewingramp.Change { return e.mirror.ApplySnapshot(keyValues, position) })
+	return nil
+}
+
+// update updates the mirror and applies the changes that this makes.
+func (e *Edge) update(updateMirror func() []lacewingramp.Change) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.apply(e.mirror.ApplySnapshot(keyValues, revision))
-	return nil
+	before := e.mirror.Position()
+	changes := updateMirror()
+	if after := e.mirror.Position(); before.Revision > 0 && after.Epoch > before.Epoch {
+		e.Log.Warn().Int64("revision", before.Revision).Int64("restored", after.Revision).Int64("epoch", after.Epoch).
+			Msg("the store was restored from a backup")
+	}
+	e.apply(changes)
 }
 
 func (e *Edge) recordStoreFailure(err error) {
@@ -200,7 +209,7 @@
 		return
 	}
 	e.store.lost, e.store.lostAt = true, e.Timer.Now()
-	e.Log.Warn().Err(err).Int64("revision", e.mirror.Revision()).Msg("lost the store")
+	e.Log.Warn().Err(err).Int64("revision", e.mirror.Position().Revision).Msg("lost the store")
 }
 
 func (e *Edge) recordStoreResponse() {
@@ -212,7 +221,7 @@
 	}
 	now := e.Timer.Now()
 	e.store.lost = false
-	e.Log.Info().Dur("away", now.Sub(e.store.lostAt)).Int64("revision", e.mirror.Revision()).Msg("regained the store")
+	e.Log.Info().Dur("away", now.Sub(e.store.lostAt)).Int64("revision", e.mirror.Position().Revision).Msg("regained the store")
 }
 
 // updateFollowAddress decides whether this instance watches the store itself, as one of
@@ -328,7 +337,7 @@
 // first byte on.
 func (e *Edge) catchUp(ctx context.Context, now time.Time) {
 	e.mu.Lock()
-	address := e.peers.AheadOf(now, e.mirror.Revision(), catchUpDelay)
+	address := e.peers.AheadOf(now, e.mirror.Position(), catchUpDelay)
 	if address == "" || e.store.catchingUp || e.receivesChanges() {
 		e.mu.Unlock()
 		return
@@ -349,7 +358,7 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.store.catchingUp = false
-		e.Log.Info().Str("from", address).Int64("revision", e.mirror.Revision()).AnErr("error", err).
+		e.Log.Info().Str("from", address).Int64("revision", e.mirror.Position().Revision).AnErr("error", err).
 			Msg("finished catching up from a peer")
 	}()
 }
--- a/internal/entry/edge/edge_heartbeat.go
+++ b/internal/entry/edge/edge_heartbeat.go
@@ -69,7 +69,7 @@
 	self := e.self
 	self.Leaving = e.stopping.Load()
 	return &lacewingramp.Heartbeat{
-		Endpoint: self, Ready: e.Ready(), Revision: e.mirror.Revision(),
+		Endpoint: self, Ready: e.Ready(), Revision: e.mirror.Position().Revision, Epoch: e.mirror.Position().Epoch,
 		ReachesStore: !e.store.lost, WatchesStore: e.watches(now), RequestRate: float32(e.requestRate),
 		CrashCounts: e.poisonGuard.HeartbeatCounts(now), RolloutStats: e.rollouts.RolloutStats(), Outcomes: e.rollouts.Outcomes(),
 	}
--- a/internal/entry/edge/edge_test.go
+++ b/internal/entry/edge/edge_test.go
@@ -233,20 +233,20 @@
 	partitioned atomic.Bool
 }
 
-func (s *partitionedStore) Changes(ctx context.Context, after int64, wait time.Duration) ([]lacewingramp.Change, int64, error) {
+func (s *partitionedStore) Changes(ctx context.Context, after lacewingramp.Position, wait time.Duration) ([]lacewingramp.Change, lacewingramp.Position, error) {
 	if s.partitioned.Load() {
 		return nil, after, lacewingramp.ErrUnreachable
 	}
 	pollCtx, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
 	defer cancel()
-	all, revision, err := s.store.Changes(pollCtx, after, wait)
+	all, position, err := s.store.Changes(pollCtx, after, wait)
 	if err != nil && ctx.Err() == nil && !s.partitioned.Load() {
 		return nil, after, nil
 	}
 	if s.partitioned.Load() {
 		return nil, after, lacewingramp.ErrUnreachable
 	}
-	return all, revision, err
+	return all, position, err
 }
 
 var _ = ginkgo.Describe("an instance without a table", func() {
--- a/internal/entry/edge/fakes_test.go
+++ b/internal/entry/edge/fakes_test.go
@@ -44,11 +44,11 @@
 	defer s.mu.Unlock()
 	if s.revision == 0 {
 		s.revision = 1
-		s.mirror.ApplySnapshot(nil, 1)
+		s.mirror.ApplySnapshot(nil, lacewingramp.Position{Revision: 1})
 	}
 	s.revision++
 	c.Revision = s.revision
-	s.mirror.Apply([]lacewingramp.Change{c}, s.revision)
+	s.mirror.Apply([]lacewingramp.Change{c}, c.Position())
 	return s.revision
 }
 
@@ -59,29 +59,29 @@
 	return i
 }
 
-func (s *store) Snapshot(context.Context) ([]lacewingramp.KeyValue, int64, error) {
+func (s *store) Snapshot(context.Context) ([]lacewingramp.KeyValue, lacewingramp.Position, error) {
 	if s.down.Load() {
-		return nil, 0, lacewingramp.ErrUnreachable
+		return nil, lacewingramp.Position{}, lacewingramp.ErrUnreachable
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	keyValues, revision := s.mirror.Snapshot()
-	return keyValues, revision, nil
+	keyValues, position := s.mirror.Snapshot()
+	return keyValues, position, nil
 }
 
-func (s *store) Changes(ctx context.Context, after int64, _ time.Duration) ([]lacewingramp.Change, int64, error) {
+func (s *store) Changes(ctx context.Context, after lacewingramp.Position, _ time.Duration) ([]lacewingramp.Change, lacewingramp.Position, error) {
 	for ctx.Err() == nil {
 		if s.down.Load() {
 			return nil, after, lacewingramp.ErrUnreachable
 		}
 		s.mu.Lock()
-		all, revision, ok := s.mirror.Since(after)
+		all, position, ok := s.mirror.Since(after)
 		s.mu.Unlock()
 		if !ok {
 			return nil, after, lacewingramp.ErrCompacted
 		}
 		if len(all) > 0 {
-			return all, revision, nil
+			return all, position, nil
 		}
 		time.Sleep(time.Millisecond)
 	}
--- a/internal/peer/follower/follower.go
+++ b/internal/peer/follower/follower.go
@@ -12,7 +12,7 @@
 //	go follower.Serve(listener, source)
 //	feed := &follower.ChangeFeed{Address: "10.2.0.40:7460"}
 //	defer feed.Close()
-//	changes, revision, err := feed.Changes(ctx, after, wait)
+//	changes, position, err := feed.Changes(ctx, after, wait)
 package follower
 
 import (
@@ -37,31 +37,55 @@
 )
 
 // Source is an instance's copy of the store's keys. It must be safe for
-// concurrent use. Snapshot and Since also return the store revision up to which
+// concurrent use. Snapshot and Since also return the store position up to which
 // the copy is complete. Since returns false if it no longer has all changes after
-// the given revision.
+// the given position.
 type Source interface {
-	Snapshot() ([]lacewingramp.KeyValue, int64)
-	Since(after int64) ([]lacewingramp.Change, int64, bool)
+	Snapshot() ([]lacewingramp.KeyValue, lacewingramp.Position)
+	Since(after lacewingramp.Position) ([]lacewingramp.Change, lacewingramp.Position, bool)
 	// Changed returns a channel that is closed at the next change.
 	Changed() <-chan struct{}
 }
 
-// query requests the changes after a revision, or all keys with their values if
-// AllKeys is set. Packed is set if the reply may hold packed values.
+// query requests the changes after a position, or all keys with their values if
+// AllKeys is set. The position is that of Revision in Epoch. Packed is set if the reply
+// may hold packed values.
 type query struct {
-	After   int64         `cbor:"1,keyasint"`
-	AllKeys bool          `cbor:"2,keyasint,omitempty"`
-	Wait    time.Duration `cbor:"3,keyasint,omitempty"`
-	Packed  bool          `cbor:"5,keyasint,omitempty"`
+	Revision int64         `cbor:"1,keyasint"`
+	AllKeys  bool          `cbor:"2,keyasint,omitempty"`
+	Wait     time.Duration `cbor:"3,keyasint,omitempty"`
+	Epoch    int64         `cbor:"4,keyasint,omitempty"`
+	Packed   bool          `cbor:"5,keyasint,omitempty"`
 }
 
-// reply holds the changes, or all keys with their values in the form of changes.
-// Compacted is set if the instance no longer has all changes that the query requests.
+func (q *query) after() lacewingramp.Position {
+	return lacewingramp.Position{Epoch: q.Epoch, Revision: q.Revision}
+}
+
+// reply holds the changes, or all keys with their values in the form of changes, up to
+// the position of Revision in Epoch. Compacted is set if the instance no longer has all
+// changes that the query requests.
 type reply struct {
 	Changes   []wireChange `cbor:"1,keyasint,omitempty"`
 	Revision  int64        `cbor:"2,keyasint"`
 	Compacted bool         `cbor:"3,keyasint,omitempty"`
+	Epoch     int64        `cbor:"4,keyasint,omitempty"`
+}
+
+func (r *reply) position() lacewingramp.Position {
+	return lacewingramp.Position{Epoch: r.Epoch, Revision: r.Revision}
+}
+
+// assumeEpoch sets the epoch of a reply from a peer that reports none to that of the
+// query.
+func (r *reply) assumeEpoch(epoch int64) {
+	if r.Epoch != 0 {
+		return
+	}
+	r.Epoch = epoch
+	for i := range r.Changes {
+		r.Changes[i].Epoch = epoch
+	}
 }
 
 // Serve answers queries until the listener is closed.
@@ -114,7 +138,7 @@
 	defer timeout.Stop()
 	for {
 		changed := s.Changed()
-		if changes, _, ok := s.Since(q.After); !ok || len(changes) > 0 {
+		if changes, _, ok := s.Since(q.after()); !ok || len(changes) > 0 {
 			return
 		}
 		select {
@@ -127,15 +151,15 @@
 
 func newReply(q query, s Source) reply {
 	if !q.AllKeys {
-		changes, revision, ok := s.Since(q.After)
-		r := reply{Revision: revision, Compacted: !ok}
+		changes, position, ok := s.Since(q.after())
+		r := reply{Revision: position.Revision, Epoch: position.Epoch, Compacted: !ok}
 		for _, c := range changes {
 			r.Changes = append(r.Changes, wireChange{Change: c})
 		}
 		return r
 	}
-	keyValues, revision := s.Snapshot()
-	r := reply{Revision: revision}
+	keyValues, position := s.Snapshot()
+	r := reply{Revision: position.Revision, Epoch: position.Epoch}
 	for _, i := range keyValues {
 		r.Changes = append(r.Changes, wireChange{Change: lacewingramp.Change{KeyValue: i}})
 	}
@@ -164,36 +188,37 @@
 
 var _ lacewingramp.ChangeFeed = (*ChangeFeed)(nil)
 
-// Snapshot returns all keys that the peer has, with their values, and the revision up
+// Snapshot returns all keys that the peer has, with their values, and the position up
 // to which they are complete.
-func (f *ChangeFeed) Snapshot(ctx context.Context) ([]lacewingramp.KeyValue, int64, error) {
+func (f *ChangeFeed) Snapshot(ctx context.Context) ([]lacewingramp.KeyValue, lacewingramp.Position, error) {
 	r, err := f.roundTrip(ctx, query{AllKeys: true, Packed: true})
 	if err != nil {
-		return nil, 0, err
+		return nil, lacewingramp.Position{}, err
 	}
 	keyValues := make([]lacewingramp.KeyValue, 0, len(r.Changes))
 	for _, c := range r.Changes {
 		keyValues = append(keyValues, c.KeyValue)
 	}
-	return keyValues, r.Revision, nil
+	return keyValues, r.position(), nil
 }
 
-// Changes returns the changes after a revision and the revision to continue from,
+// Changes returns the changes after a position and the position to continue from,
 // as soon as there are any or when wait is over. It returns ErrCompacted if the
 // peer no longer has all of these changes.
-func (f *ChangeFeed) Changes(ctx context.Context, after int64, wait time.Duration) ([]lacewingramp.Change, int64, error) {
-	r, err := f.roundTrip(ctx, query{After: after, Wait: wait, Packed: true})
+func (f *ChangeFeed) Changes(ctx context.Context, after lacewingramp.Position, wait time.Duration) ([]lacewingramp.Change, lacewingramp.Position, error) {
+	r, err := f.roundTrip(ctx, query{Revision: after.Revision, Epoch: after.Epoch, Wait: wait, Packed: true})
 	if err != nil {
 		return nil, after, err
 	}
 	if r.Compacted {
 		return nil, after, lacewingramp.ErrCompacted
 	}
+	r.assumeEpoch(after.Epoch)
 	changes := make([]lacewingramp.Change, 0, len(r.Changes))
 	for _, c := range r.Changes {
 		changes = append(changes, c.Change)
 	}
-	return changes, r.Revision, nil
+	return changes, r.position(), nil
 }
 
 // Receiving reports whether a reply is being received and makes progress. It is false
--- a/internal/peer/follower/follower_test.go
+++ b/internal/peer/follower/follower_test.go
@@ -21,23 +21,28 @@
 	mirror *mirror.Mirror
 }
 
+// at returns a position without an epoch.
+func at(revision int64) lacewingramp.Position {
+	return lacewingramp.Position{Revision: revision}
+}
+
 func (l *lockedMirror) apply(revision int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if revision == 1 {
-		l.mirror.ApplySnapshot(nil, 1)
+		l.mirror.ApplySnapshot(nil, at(1))
 		return
 	}
-	l.mirror.Apply([]lacewingramp.Change{{KeyValue: lacewingramp.KeyValue{Key: "k", Revision: revision}}}, revision)
+	l.mirror.Apply([]lacewingramp.Change{{KeyValue: lacewingramp.KeyValue{Key: "k", Revision: revision}}}, at(revision))
 }
 
-func (l *lockedMirror) Snapshot() ([]lacewingramp.KeyValue, int64) {
+func (l *lockedMirror) Snapshot() ([]lacewingramp.KeyValue, lacewingramp.Position) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.mirror.Snapshot()
 }
 
-func (l *lockedMirror) Since(after int64) ([]lacewingramp.Change, int64, bool) {
+func (l *lockedMirror) Since(after lacewingramp.Position) ([]lacewingramp.Change, lacewingramp.Position, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.mirror.Since(after)
@@ -62,22 +67,22 @@
 
 	ginkgo.It("brings a mirror to the same content as the peer's", func(ctx context.Context) {
 		var source, own mirror.Mirror
-		source.ApplySnapshot([]lacewingramp.KeyValue{{Key: "a", Value: []byte("1"), Revision: 1}}, 1)
+		source.ApplySnapshot([]lacewingramp.KeyValue{{Key: "a", Value: []byte("1"), Revision: 1}}, at(1))
 		f := serve(&source)
-		keyValues, revision, err := f.Snapshot(ctx)
+		keyValues, position, err := f.Snapshot(ctx)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
-		own.ApplySnapshot(keyValues, revision)
+		own.ApplySnapshot(keyValues, position)
 		source.Apply([]lacewingramp.Change{
 			{KeyValue: lacewingramp.KeyValue{Key: "b", Value: []byte("2"), Revision: 2}},
 			{KeyValue: lacewingramp.KeyValue{Key: "a", Revision: 3}, Deleted: true},
-		}, 3)
-		changes, revision, err := f.Changes(ctx, own.Revision(), 0)
+		}, at(3))
+		changes, position, err := f.Changes(ctx, own.Position(), 0)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
-		own.Apply(changes, revision)
+		own.Apply(changes, position)
 		want, _ := source.Snapshot()
-		got, at := own.Snapshot()
+		got, reached := own.Snapshot()
 		gomega.Expect(got).To(gomega.Equal(want))
-		gomega.Expect(at).To(gomega.Equal(int64(3)))
+		gomega.Expect(reached).To(gomega.Equal(at(3)))
 	})
 
 	ginkgo.It("waits for a change, and returns without one when the wait time is over", func(ctx context.Context) {
@@ -89,14 +94,14 @@
 		go func() { _ = follower.Serve(l, m) }()
 		f := &follower.ChangeFeed{Address: l.Addr().String()}
 		ginkgo.DeferCleanup(f.Close)
-		all, _, err := f.Changes(ctx, 1, time.Millisecond)
+		all, _, err := f.Changes(ctx, at(1), time.Millisecond)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		gomega.Expect(all).To(gomega.BeEmpty())
 		got := make(chan int64, 1)
 		go func() {
-			_, revision, err := f.Changes(ctx, 1, 9*time.Second)
+			_, position, err := f.Changes(ctx, at(1), 9*time.Second)
 			if err == nil {
-				got <- revision
+				got <- position.Revision
 			}
 		}()
 		m.apply(2)
@@ -105,13 +110,13 @@
 
 	ginkgo.It("reports changes that are no longer kept, and a peer that can not be reached", func(ctx context.Context) {
 		var source mirror.Mirror
-		source.ApplySnapshot(nil, 9)
-		_, _, err := serve(&source).Changes(ctx, 3, 0)
+		source.ApplySnapshot(nil, at(9))
+		_, _, err := serve(&source).Changes(ctx, at(3), 0)
 		gomega.Expect(err).To(gomega.MatchError(lacewingramp.ErrCompacted))
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		_ = l.Close()
-		_, _, err = (&follower.ChangeFeed{Address: l.Addr().String()}).Changes(ctx, 3, 0)
+		_, _, err = (&follower.ChangeFeed{Address: l.Addr().String()}).Changes(ctx, at(3), 0)
 		gomega.Expect(err).To(gomega.HaveOccurred())
 	})
 })
--- a/internal/peer/follower/packing.go
+++ b/internal/peer/follower/packing.go
@@ -88,7 +88,7 @@
 
 // packedValue is a value of a key. packed is nil if the value does not shrink.
 type packedValue struct {
-	revision int64
+	position lacewingramp.Position
 	value    []byte
 	packed   []byte
 }
@@ -108,10 +108,10 @@
 // packed returns the packed value of a key, or nil if the value stays plain.
 func (p *packer) packed(kv lacewingramp.KeyValue) []byte {
 	kept, ok := p.values[kv.Key]
-	if ok && kept.revision == kv.Revision && bytes.Equal(kept.value, kv.Value) {
+	if ok && kept.position == kv.Position() && bytes.Equal(kept.value, kv.Value) {
 		return kept.packed
 	}
-	latest := !ok || kept.revision <= kv.Revision
+	latest := !ok || !kv.Position().Before(kept.position)
 	if !isLarge(kv.Value) {
 		if latest {
 			delete(p.values, kv.Key)
@@ -132,21 +132,21 @@
 	if p.values == nil {
 		p.values = make(map[string]packedValue)
 	}
-	p.values[kv.Key] = packedValue{revision: kv.Revision, value: kv.Value, packed: packed}
+	p.values[kv.Key] = packedValue{position: kv.Position(), value: kv.Value, packed: packed}
 }
 
 // retain drops the values that are not among those of a snapshot.
 func (p *packer) retain(snapshot []wireChange) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	revisions := make(map[string]int64, len(p.values))
+	positions := make(map[string]lacewingramp.Position, len(p.values))
 	for _, c := range snapshot {
 		if isLarge(c.Value) {
-			revisions[c.Key] = c.Revision
+			positions[c.Key] = c.Position()
 		}
 	}
 	for key, v := range p.values {
-		if revision, ok := revisions[key]; !ok || revision != v.revision {
+		if position, ok := positions[key]; !ok || position != v.position {
 			delete(p.values, key)
 		}
 	}
--- a/internal/peer/follower/packing_test.go
+++ b/internal/peer/follower/packing_test.go
@@ -36,21 +36,21 @@
 	changes []lacewingramp.Change
 }
 
-func (s changeSource) Snapshot() ([]lacewingramp.KeyValue, int64) {
+func (s changeSource) Snapshot() ([]lacewingramp.KeyValue, lacewingramp.Position) {
 	var keyValues []lacewingramp.KeyValue
 	for _, c := range s.changes {
 		if !c.Deleted {
 			keyValues = append(keyValues, c.KeyValue)
 		}
 	}
-	return keyValues, s.revision()
+	return keyValues, s.position()
 }
 
-func (s changeSource) Since(int64) ([]lacewingramp.Change, int64, bool) {
-	return s.changes, s.revision(), true
+func (s changeSource) Since(lacewingramp.Position) ([]lacewingramp.Change, lacewingramp.Position, bool) {
+	return s.changes, s.position(), true
 }
 
-func (s changeSource) revision() int64 { return s.changes[len(s.changes)-1].Revision }
+func (s changeSource) position() lacewingramp.Position { return s.changes[len(s.changes)-1].Position() }
 
 // countedConn counts the bytes that are read from a connection.
 type countedConn struct {
@@ -121,7 +121,7 @@
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		gomega.Expect(read.Load()).To(gomega.BeNumerically("<=", maxBytes))
 		read.Store(0)
-		_, _, err = f.Changes(ctx, 0, 0)
+		_, _, err = f.Changes(ctx, lacewingramp.Position{}, 0)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		gomega.Expect(read.Load()).To(gomega.BeNumerically("<=", maxBytes))
 	})
@@ -129,15 +129,15 @@
 	// Guards against a loss of content by packing.
 	ginkgo.It("arrive as they are in the source", func(ctx context.Context) {
 		f, _ := serveCounted(source)
-		keyValues, revision, err := f.Snapshot(ctx)
+		keyValues, position, err := f.Snapshot(ctx)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		want, at := source.Snapshot()
 		gomega.Expect(keyValues).To(gomega.Equal(want))
-		gomega.Expect(revision).To(gomega.Equal(at))
-		changes, revision, err := f.Changes(ctx, 0, 0)
+		gomega.Expect(position).To(gomega.Equal(at))
+		changes, position, err := f.Changes(ctx, lacewingramp.Position{}, 0)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		gomega.Expect(changes).To(gomega.Equal(source.changes))
-		gomega.Expect(revision).To(gomega.Equal(at))
+		gomega.Expect(position).To(gomega.Equal(at))
 	})
 
 	// Guards against packed values for a follower that can't read them.
@@ -159,10 +159,10 @@
 			_ = cbor.NewDecoder(peer).Decode(&q)
 			_ = cbor.NewEncoder(peer).Encode(plainReply{Changes: source.changes, Revision: 3})
 		}()
-		changes, revision, err := f.Changes(ctx, 0, 0)
+		changes, position, err := f.Changes(ctx, lacewingramp.Position{}, 0)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		gomega.Expect(changes).To(gomega.Equal(source.changes))
-		gomega.Expect(revision).To(gomega.Equal(int64(3)))
+		gomega.Expect(position).To(gomega.Equal(lacewingramp.Position{Revision: 3}))
 	})
 
 	// Guards against a crash, or a wrong or endless value, by what a peer sends.
--- a/internal/peer/follower/transfer_test.go
+++ b/internal/peer/follower/transfer_test.go
@@ -18,12 +18,12 @@
 // fixedSource is a Source whose only key is a large one that does not change.
 type fixedSource struct{ keyValue lacewingramp.KeyValue }
 
-func (s fixedSource) Snapshot() ([]lacewingramp.KeyValue, int64) {
-	return []lacewingramp.KeyValue{s.keyValue}, s.keyValue.Revision
+func (s fixedSource) Snapshot() ([]lacewingramp.KeyValue, lacewingramp.Position) {
+	return []lacewingramp.KeyValue{s.keyValue}, s.keyValue.Position()
 }
 
-func (s fixedSource) Since(int64) ([]lacewingramp.Change, int64, bool) {
-	return []lacewingramp.Change{{KeyValue: s.keyValue}}, s.keyValue.Revision, true
+func (s fixedSource) Since(lacewingramp.Position) ([]lacewingramp.Change, lacewingramp.Position, bool) {
+	return []lacewingramp.Change{{KeyValue: s.keyValue}}, s.keyValue.Position(), true
 }
 
 func (s fixedSource) Changed() <-chan struct{} { return nil }
@@ -104,10 +104,10 @@
 	ginkgo.It("arrives whole over a connection that is slow and steady", func(ctx context.Context) {
 		f := &ChangeFeed{conn: serveSlowly(fixedSource{large}, len(large.Value)/pieces, 3*callTimeout/2/pieces)}
 		ginkgo.DeferCleanup(f.Close)
-		keyValues, revision, err := f.Snapshot(ctx)
+		keyValues, position, err := f.Snapshot(ctx)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		gomega.Expect(keyValues).To(gomega.Equal([]lacewingramp.KeyValue{large}))
-		gomega.Expect(revision).To(gomega.Equal(large.Revision))
+		gomega.Expect(position).To(gomega.Equal(large.Position()))
 	})
 
 	reply := func() []byte {
--- a/internal/peer/heartbeat/heartbeat_test.go
+++ b/internal/peer/heartbeat/heartbeat_test.go
@@ -114,21 +114,35 @@
 				h.Endpoint.Peer = fmt.Sprint("127.0.0.1:", 2+j)
 				p.Record(start, h)
 			}
-			first := p.AheadOf(start, 8, 0)
+			choose := func() string { return p.AheadOf(start, lacewingramp.Position{Revision: 8}, 0) }
+			first := choose()
 			chosen[first]++
-			gomega.Expect([]string{p.AheadOf(start, 8, 0), p.AheadOf(start, 8, 0), p.AheadOf(start, 8, 0)}).NotTo(gomega.HaveEach(first))
+			gomega.Expect([]string{choose(), choose(), choose()}).NotTo(gomega.HaveEach(first))
 		}
 		for address, count := range chosen {
 			gomega.Expect(count).To(gomega.BeNumerically("<", 20), address)
 		}
 	})
 
+	// Guards against instances that return to the state of before a restoration.
+	ginkgo.It("takes an instance that has read the restored store to be ahead, whatever its revision", func() {
+		var p heartbeat.Peers
+		h := newHeartbeat("a", 1, 3)
+		h.Epoch = 2
+		p.Record(start, h)
+		before, after := lacewingramp.Position{Epoch: 1, Revision: 9}, lacewingramp.Position{Epoch: 2, Revision: 3}
+		gomega.Expect(p.AheadOf(start, before, 0)).NotTo(gomega.BeEmpty())
+		gomega.Expect(p.AheadOf(start, after, 0)).To(gomega.BeEmpty())
+		p.Record(start, newHeartbeat("a", 1, 20))
+		gomega.Expect(p.AheadOf(start, after, 0)).To(gomega.BeEmpty())
+	})
+
 	ginkgo.It("finds an instance with a higher store revision, after the given time", func() {
 		p := heartbeat.Peers{Self: "one"}
 		p.Record(start, newHeartbeat("two", 1, 9))
-		gomega.Expect(p.AheadOf(start, 8, 100*time.Millisecond)).To(gomega.BeEmpty())
-		gomega.Expect(p.AheadOf(start.Add(200*time.Millisecond), 8, 100*time.Millisecond)).NotTo(gomega.BeEmpty())
-		gomega.Expect(p.AheadOf(start.Add(200*time.Millisecond), 9, 100*time.Millisecond)).To(gomega.BeEmpty())
+		gomega.Expect(p.AheadOf(start, lacewingramp.Position{Revision: 8}, 100*time.Millisecond)).To(gomega.BeEmpty())
+		gomega.Expect(p.AheadOf(start.Add(200*time.Millisecond), lacewingramp.Position{Revision: 8}, 100*time.Millisecond)).NotTo(gomega.BeEmpty())
+		gomega.Expect(p.AheadOf(start.Add(200*time.Millisecond), lacewingramp.Position{Revision: 9}, 100*time.Millisecond)).To(gomega.BeEmpty())
 	})
 })
 
--- a/internal/peer/heartbeat/peers.go
+++ b/internal/peer/heartbeat/peers.go
@@ -104,8 +104,8 @@
 // lastHeard is when its last heartbeat was received. lastKnown is that time or
 // when the store last reported it as listed, whichever is later. reachesStore is
 // set if the instance can reach the store, and listed while the store lists it.
-// revision is the highest store revision that the instance has reported.
-// aheadSince is when AheadOf first found revision to be higher than the one that it
+// position is the latest store position that the instance has reported.
+// aheadSince is when AheadOf first found position to be later than the one that it
 // compares with, or zero. requestRate is in requests a second.
 type member struct {
 	lacewingramp.Endpoint
@@ -115,7 +115,7 @@
 	reachesStore bool
 	watchesStore bool
 	listed       bool
-	revision     int64
+	position     lacewingramp.Position
 	aheadSince   time.Time
 	requestRate  float64
 }
@@ -168,7 +168,9 @@
 	regained = !p.alive(now, m)
 	m.lastHeard, m.lastKnown = now, now
 	m.ready, m.reachesStore, m.watchesStore = h.Ready, h.ReachesStore, h.WatchesStore
-	m.revision = max(m.revision, h.Revision)
+	if m.position.Before(h.Position()) {
+		m.position = h.Position()
+	}
 	m.requestRate = float64(h.RequestRate)
 	return regained
 }
@@ -307,14 +309,14 @@
 	return 1 + p.count(func(m *member) bool { return m.listed || p.alive(now, m) })
 }
 
-// AheadOf returns the address of a live instance whose store revision has been higher
+// AheadOf returns the address of a live instance whose store position has been later
 // than the given one for at least minDuration, or "" if there is none. Different
 // instances get different ones of them, and so does the same instance at its next
 // attempt, so that no single one has to serve all that are behind.
-func (p *Peers) AheadOf(now time.Time, revision int64, minDuration time.Duration) (address string) {
+func (p *Peers) AheadOf(now time.Time, position lacewingramp.Position, minDuration time.Duration) (address string) {
 	var ahead []string
 	for name, m := range p.all {
-		if m.revision <= revision {
+		if !position.Before(m.position) {
 			m.aheadSince = time.Time{}
 			continue
 		}
--- a/store.go
+++ b/store.go
@@ -25,18 +25,29 @@
 // KeyValue is one key of the store with its value.
 //
 // Revision is the store's revision of the last write to the key. It is 0 if the key
-// does not exist.
+// does not exist. Epoch is that of the Position at which the key was read, and is only
+// set by a ChangeFeed.
 type KeyValue struct {
 	Key      string
 	Value    []byte
 	Revision int64
 	Lease    LeaseID
+	Epoch    int64
+}
+
+// Position returns the position of the last write to the key.
+func (k *KeyValue) Position() Position {
+	return Position{Epoch: k.Epoch, Revision: k.Revision}
 }
 
 // Change is one event of a watch. It has no value if Deleted is set.
+//
+// Reverted is set if nobody has written the change: the store was restored from a
+// backup and has lost a later state of the key, which may be written again.
 type Change struct {
 	KeyValue
-	Deleted bool
+	Deleted  bool
+	Reverted bool
 }
 
 // Store is the platform's key-value store.
--- a/store_event.go
+++ b/store_event.go
@@ -7,27 +7,29 @@
 )
 
 // ErrCompacted is returned if the requested changes are no longer in the store's
-// history. The caller has to read a new snapshot.
+// history, or if the store was restored from a backup since. The caller has to read a
+// new snapshot.
 var ErrCompacted = errors.New("requested changes are no longer in the store's history")
 
 // ChangeFeed is a source of changes to the store's keys: the store itself, or
 // another instance that mirrors it.
 type ChangeFeed interface {
-	// Snapshot returns all keys with their values, and the revision from which to
+	// Snapshot returns all keys with their values, and the position from which to
 	// request changes.
-	Snapshot(ctx context.Context) ([]KeyValue, int64, error)
-	// Changes blocks until there are changes after the given revision, or until
-	// wait has passed. It returns them with the revision to continue from.
-	Changes(ctx context.Context, after int64, wait time.Duration) ([]Change, int64, error)
+	Snapshot(ctx context.Context) ([]KeyValue, Position, error)
+	// Changes blocks until there are changes after the given position, or until
+	// wait has passed. It returns them with the position to continue from.
+	Changes(ctx context.Context, after Position, wait time.Duration) ([]Change, Position, error)
 }
 
 // StoreEvent is the decoded change of one key of the store. At most one of the
 // pointers is set, according to the kind of the key. Removed is set if the key was
-// deleted.
+// deleted, and Reverted is that of the Change.
 type StoreEvent struct {
 	Key      string
 	Revision int64
 	Removed  bool
+	Reverted bool
 
 	Table              *Table
 	TargetRegistration *TargetRegistration
