Keep what a restored store has lost in force until it is written again

Callers would get requests sent to targets that had announced their end or were gone, to evacuated domains, and new targets would get none, as soon as an instance reads a store that came back from an older copy: the copy lacks the latest registrations and orders, or has earlier ones.

Cause: a state that nobody has written was taken for a change. Class of fault: the absence or the age of a record read as news about what it describes.

Change: a change that only returns a key to an earlier state (the mirror knows it by its log) doesn't come into force at once.

Ruled out: comparing registrations by start and sequence number, which helps for targets only, and not where a key is missing.

--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -113,7 +113,9 @@
 }
 
 // Edge is an instance. expired maps targets whose registration expired during a store
-// outage to the time until which they are kept. mu guards the fields below it.
+// outage to the time until which they are kept. reverted maps keys whose latest state a
+// restored store has lost to the time until which that state stays in force. mu guards
+// the fields below it.
 type Edge struct {
 	Settings
 	Dependencies
@@ -153,6 +155,7 @@
 	roundRobins map[string]*weightedRoundRobin
 	peers       heartbeat.Peers
 	expired     map[string]time.Time
+	reverted    map[string]time.Time
 	probes      map[string]*probe
 	// requestRate is the moving average of the requests received per second.
 	requestRate float64
@@ -184,6 +187,7 @@
 	e.orders = make(map[string]*order)
 	e.roundRobins = make(map[string]*weightedRoundRobin)
 	e.expired = make(map[string]time.Time)
+	e.reverted = make(map[string]time.Time)
 	e.probes = make(map[string]*probe)
 	e.peers = heartbeat.Peers{Self: s.Name, Region: s.Region, Regions: s.Regions}
 	e.store.interrupt = func() {}
--- a/internal/entry/edge/edge_events.go
+++ b/internal/entry/edge/edge_events.go
@@ -18,6 +18,10 @@
 			e.removeUndecodableTarget(now, c)
 			continue
 		}
+		if event.Reverted && e.keepReverted(now, &event) {
+			continue
+		}
+		delete(e.reverted, c.Key)
 		e.applyEvent(now, &event)
 		instancesChanged = instancesChanged || event.Instance != nil
 	}
--- a/internal/entry/edge/edge_follow.go
+++ b/internal/entry/edge/edge_follow.go
@@ -196,8 +196,7 @@
 	before := e.mirror.Position()
 	changes := updateMirror()
 	if after := e.mirror.Position(); before.Revision > 0 && after.Epoch > before.Epoch {
-		e.Log.Warn().Int64("revision", before.Revision).Int64("restored", after.Revision).Int64("epoch", after.Epoch).
-			Msg("the store was restored from a backup")
+		e.handleRestored(before, after)
 	}
 	e.apply(changes)
 }
--- a/internal/entry/edge/edge_heartbeat.go
+++ b/internal/entry/edge/edge_heartbeat.go
@@ -36,6 +36,7 @@
 	e.quota.Tick(now)
 	e.updateFollowAddress(now)
 	e.removeExpired(now)
+	e.settleReverted(now)
 	e.tickRollouts(ctx, now)
 	ownRegion, otherRegions := e.peers.NextRound()
 	regional := e.newHeartbeat(now)
