Register again after the store has lost the registration

Callers would not be told of an instance, and its peers would not count it, after the store had come back from a copy older than its registration, if the ID of its lease was granted to another instance again: it went on renewing that one's lease.

Cause: the ID of a lease was taken to name the same lease for ever.

Change: an instance that learns that the store was restored looks for its registration under its lease in the mirror, at once. If it is not there, it takes a new lease and registers again. Without the check the new test waits for a second registration in vain.

--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -114,8 +114,9 @@
 
 // Edge is an instance. expired maps targets whose registration expired during a store
 // outage to the time until which they are kept. reverted maps keys whose latest state a
-// restored store has lost to the time until which that state stays in force. mu guards
-// the fields below it.
+// restored store has lost to the time until which that state stays in force. restored
+// receives a value when the store was restored from a backup. mu guards the fields below
+// it.
 type Edge struct {
 	Settings
 	Dependencies
@@ -133,6 +134,7 @@
 	client   exchange.Client
 	server   caller.Server
 	socket   *heartbeat.Socket
+	restored chan struct{}
 
 	mu     sync.Mutex
 	self   lacewingramp.Endpoint
@@ -188,6 +190,7 @@
 	e.roundRobins = make(map[string]*weightedRoundRobin)
 	e.expired = make(map[string]time.Time)
 	e.reverted = make(map[string]time.Time)
+	e.restored = make(chan struct{}, 1)
 	e.probes = make(map[string]*probe)
 	e.peers = heartbeat.Peers{Self: s.Name, Region: s.Region, Regions: s.Regions}
 	e.store.interrupt = func() {}
--- a/internal/entry/edge/edge_heartbeat.go
+++ b/internal/entry/edge/edge_heartbeat.go
@@ -151,7 +151,11 @@
 			continue
 		}
 		backoff = minStoreBackoff
-		sleep(ctx, leaseRenewInterval)
+		if _, restored := await(ctx, e.restored, leaseRenewInterval); restored && !e.hasRegistration(lease) {
+			// The store may have granted the ID of the lost lease again.
+			e.Log.Warn().Msg("the restored store has lost this instance's registration")
+			lease = 0
+		}
 	}
 	if lease != 0 {
 		e.unregister(lease)
--- a/internal/entry/edge/edge_restore.go
+++ b/internal/entry/edge/edge_restore.go
@@ -28,6 +28,10 @@
 			e.reverted[key] = earliest
 		}
 	}
+	select {
+	case e.restored <- struct{}{}:
+	default:
+	}
 }
 
 // keepReverted keeps the known state of a key in force although the store has returned
@@ -63,3 +67,12 @@
 		e.apply([]lacewingramp.Change{c})
 	}
 }
+
+// hasRegistration reports whether the store holds this instance's registration under a
+// lease.
+func (e *Edge) hasRegistration(lease lacewingramp.LeaseID) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	keyValue, ok := e.mirror.KeyValue(lacewingramp.KeyInstances + e.Name)
+	return ok && keyValue.Lease == lease
+}
--- a/internal/entry/edge/restore_test.go
+++ b/internal/entry/edge/restore_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"encoding/json"
 	"testing"
 	"time"
@@ -203,3 +204,52 @@
 	h.wait(outdatedTimeout + time.Millisecond)
 	inForce("later", 16)
 }
+
+// leases is a store that grants leases and records registrations. It does not find out
+// that it has lost a lease, as another instance may have got the same ID.
+type leases struct {
+	Store
+	last       lacewingramp.LeaseID
+	registered chan lacewingramp.LeaseID
+}
+
+func (l *leases) GrantLease(context.Context, int64) (lacewingramp.LeaseID, error) {
+	l.last++
+	return l.last, nil
+}
+
+func (l *leases) RenewLease(context.Context, lacewingramp.LeaseID) error { return nil }
+
+func (l *leases) RevokeLease(context.Context, lacewingramp.LeaseID) error { return nil }
+
+func (l *leases) Put(_ context.Context, _ string, _ []byte, lease lacewingramp.LeaseID) (int64, error) {
+	l.registered <- lease
+	return 1, nil
+}
+
+// Guards against an instance that renews the lease of another one and stays
+// unregistered, when the store came back from a backup.
+func TestRestoredStoreRegistersAgain(t *testing.T) {
+	h := newHistory(t)
+	store := &leases{registered: make(chan lacewingramp.LeaseID)}
+	h.edge.Store = store
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		h.edge.register(ctx)
+	}()
+	restore := h.backup()
+	_, value, err := events{}.Instance(lacewingramp.Endpoint{Name: "edge-0"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.change(lacewingramp.Change{KeyValue: lacewingramp.KeyValue{Key: lacewingramp.KeyInstances + "edge-0", Value: value, Lease: <-store.registered}})
+	h.edge.update(func() []lacewingramp.Change { return nil })
+	restore()
+	if lease := <-store.registered; lease != 2 {
+		t.Errorf("registered again under lease %d, want a new one", lease)
+	}
+	cancel()
+	<-done
+}
