Resume rollouts after the store has lost their records

Once an instance follows the restored store, an order that is written again would also start again from the canary.

Cause: an order and its rollout were identified by the store's revision of the order, and a record that had been written once was taken to be in the store for ever.

Change: a rollout is named by its recorded start, which stays. An order that the store had lost and that is written again with the same content goes on, under its new revision. A start or status that the store has lost is written again, by the same rule as new ones.

With the order identified as before, the new test fails: the rewritten order has no start.

Remains: an instance that starts between the order's return and the return of the start's record, and that is the one to write it, starts the rollout anew.

--- a/internal/entry/edge/edge_restore.go
+++ b/internal/entry/edge/edge_restore.go
@@ -41,6 +41,9 @@
 	if event.RolloutStart != nil || event.RolloutStatus != nil {
 		return false
 	}
+	if event.RolloutOrder != nil {
+		e.markOrderReverted(event.RolloutOrder.Service)
+	}
 	timeout := outdatedTimeout
 	if event.Removed {
 		timeout = rewriteTimeout
--- a/internal/entry/edge/edge_rollout.go
+++ b/internal/entry/edge/edge_rollout.go
@@ -22,13 +22,16 @@
 )
 
 // order is a rollout order, with the progress of its rollout. startAt and rampAt are
-// zero until they are known from the order's RolloutStart record. storedStatus is the
-// order's RolloutStatus record, nil if the store has none. writing is set while this
-// instance writes a record.
+// zero until they are known from the order's RolloutStart record, and startStored is set
+// while the store has that record. storedStatus is the order's RolloutStatus record, nil
+// if the store has none. reverted is set if a restored store has lost the order. writing
+// is set while this instance writes a record.
 type order struct {
 	lacewingramp.RolloutOrder
-	revision int64
-	seenAt   time.Time
+	revision    int64
+	reverted    bool
+	startStored bool
+	seenAt      time.Time
 	// baseVersion is the version that the order replaces.
 	baseVersion  string
 	startAt      time.Time
@@ -48,9 +51,11 @@
 	value string
 }
 
-// rolloutName returns a name that differs for every order of a service.
+// rolloutName returns a name that differs for every started order of a service. It does
+// not depend on the order's revision, which changes if a restored store has lost the
+// order and it is written again.
 func (o *order) rolloutName() string {
-	return o.Service + "@" + strconv.FormatInt(o.revision, 10)
+	return o.Service + "@" + strconv.FormatInt(o.startAt.UnixNano(), 10)
 }
 
 // applyRollout applies a changed RolloutOrder, RolloutStart or RolloutStatus record.
@@ -60,19 +65,29 @@
 		delete(e.orders, event.RolloutOrder.Service)
 	case event.RolloutOrder != nil:
 		e.applyOrder(now, event)
-	case event.RolloutStart != nil && !event.Removed:
-		if o, ok := e.orders[event.RolloutStart.Service]; ok && o.revision == event.RolloutStart.Revision {
-			o.startAt, o.rampAt = event.RolloutStart.StartedAt, event.RolloutStart.RampStartedAt
-		}
-	case event.RolloutStatus != nil && !event.Removed:
+	case event.RolloutStart != nil:
+		e.applyStart(event)
+	case event.RolloutStatus != nil:
 		e.applyStatus(event)
 	}
 	e.configureRollouts(now)
 }
 
+// markOrderReverted records that a restored store has lost the order of a service.
+func (e *Edge) markOrderReverted(service string) {
+	if o, ok := e.orders[service]; ok {
+		o.reverted = true
+	}
+}
+
 func (e *Edge) applyOrder(now time.Time, event *lacewingramp.StoreEvent) {
 	o := &order{RolloutOrder: *event.RolloutOrder, revision: event.Revision, seenAt: now}
-	if previous, ok := e.orders[o.Service]; ok {
+	previous, ok := e.orders[o.Service]
+	if ok && previous.reverted && previous.RolloutOrder == o.RolloutOrder {
+		e.resumeOrder(previous, event.Revision)
+		return
+	}
+	if ok {
 		o.baseVersion = previous.baseVersion
 		if e.localStatus(previous).State == rollout.StateDone {
 			o.baseVersion = previous.Version
@@ -84,12 +99,34 @@
 	e.loadRecords(o)
 }
 
+// resumeOrder continues the rollout of an order that a restored store had lost and that
+// is in the store again, at a new revision.
+func (e *Edge) resumeOrder(o *order, revision int64) {
+	o.revision, o.reverted = revision, false
+	o.startStored, o.storedStatus = false, nil
+	e.Log.Info().Str("service", o.Service).Str("version", o.Version).Int64("revision", revision).Msg("rollout ordered again after the store was restored")
+	e.loadRecords(o)
+}
+
+// applyStart applies a RolloutStart record, unless it belongs to an earlier order. The
+// start of a rollout stays known if the record is lost.
+func (e *Edge) applyStart(event *lacewingramp.StoreEvent) {
+	o, ok := e.orders[event.RolloutStart.Service]
+	switch {
+	case !ok:
+	case event.Removed || o.revision != event.RolloutStart.Revision:
+		o.startStored = false
+	default:
+		o.startAt, o.rampAt, o.startStored = event.RolloutStart.StartedAt, event.RolloutStart.RampStartedAt, true
+	}
+}
+
 // loadRecords reads an order's RolloutStart and RolloutStatus records from the mirror,
 // because a snapshot may contain them before the order.
 func (e *Edge) loadRecords(o *order) {
 	if key, _, err := e.DocumentEncoder.RolloutStart(lacewingramp.RolloutStart{Service: o.Service}); err == nil {
-		if event, ok := e.readMirror(key); ok && event.RolloutStart != nil && event.RolloutStart.Revision == o.revision {
-			o.startAt, o.rampAt = event.RolloutStart.StartedAt, event.RolloutStart.RampStartedAt
+		if event, ok := e.readMirror(key); ok && event.RolloutStart != nil {
+			e.applyStart(&event)
 		}
 	}
 	if key, _, err := e.DocumentEncoder.RolloutStatus(lacewingramp.RolloutStatus{Service: o.Service}); err == nil {
@@ -112,7 +149,13 @@
 // record belongs to an earlier order.
 func (e *Edge) applyStatus(event *lacewingramp.StoreEvent) {
 	o, ok := e.orders[event.RolloutStatus.Service]
-	if !ok || event.Revision < o.revision || event.RolloutStatus.Version != o.Version {
+	if !ok {
+		return
+	}
+	if event.Removed || event.Reverted {
+		o.storedStatus = nil
+	}
+	if event.Removed || event.Revision < o.revision || event.RolloutStatus.Version != o.Version {
 		return
 	}
 	o.storedStatus = event.RolloutStatus
@@ -243,6 +286,8 @@
 	switch {
 	case o.startAt.IsZero():
 		return startWrite(e.DocumentEncoder, o, lacewingramp.RolloutStart{StartedAt: o.seenAt.UTC()})
+	case !o.startStored:
+		return startWrite(e.DocumentEncoder, o, lacewingramp.RolloutStart{StartedAt: o.startAt, RampStartedAt: o.rampAt})
 	case s.State == rollout.StateDone:
 		return statusWrite(e.DocumentEncoder, o, lacewingramp.StatusDone)
 	case s.State == rollout.StateRolledBack:
--- a/internal/entry/edge/restore_test.go
+++ b/internal/entry/edge/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
@@ -253,3 +254,40 @@
 	cancel()
 	<-done
 }
+
+// Guards against a rollout that starts from the canary again, and against an outcome that
+// operators never see, when the store came back from a backup.
+func TestRestoredStoreResumesRollout(t *testing.T) {
+	h := newHistory(t)
+	putTarget(h, "old", "a", false)
+	order := lacewingramp.StoreEvent{RolloutOrder: &lacewingramp.RolloutOrder{Service: "s", Version: "v2", MaxDuration: time.Minute}}
+	restore := h.backup()
+	h.put("order/s", order)
+	o := h.edge.orders["s"]
+	startedAt := h.timer.Now()
+	h.put("start/s", lacewingramp.StoreEvent{RolloutStart: &lacewingramp.RolloutStart{Service: "s", Revision: o.revision, StartedAt: startedAt}})
+	h.put("status/s", lacewingramp.StoreEvent{RolloutStatus: &lacewingramp.RolloutStatus{Service: "s", Version: "v2", State: lacewingramp.StatusRunning}})
+	name := o.rolloutName()
+	restore()
+	if h.edge.orders["s"] != o {
+		t.Fatal("the order was dropped")
+	}
+	h.timer.Advance(time.Second)
+	h.put("other", lacewingramp.StoreEvent{})
+	h.put("order/s", order)
+	if h.edge.orders["s"] != o || o.rolloutName() != name || !o.startAt.Equal(startedAt) {
+		t.Fatalf("the order written again is %+v, want the one started at %s", h.edge.orders["s"], startedAt)
+	}
+	h.expectPending(o, "start/s", `"moment":"`+startedAt.UTC().Format(time.RFC3339)+`"`)
+	h.put("start/s", lacewingramp.StoreEvent{RolloutStart: &lacewingramp.RolloutStart{Service: "s", Revision: o.revision, StartedAt: startedAt}})
+	h.expectPending(o, "status/s", lacewingramp.StatusRunning)
+}
+
+// expectPending checks the record that an order needs to have written next.
+func (h *history) expectPending(o *order, key, part string) {
+	h.t.Helper()
+	w, err := h.edge.pendingWrite(o)
+	if err != nil || w.key != key || !strings.Contains(w.value, part) {
+		h.t.Errorf("the next record is %q at %q (%v), want one with %q at %q", w.value, w.key, err, part, key)
+	}
+}
