Leave a followed peer that has no keys instead of asking it without a pause

Callers saw requests refused with 404 and 401 by instances with an old table. This fault takes processor time, bandwidth and log lines from instances that share these; that it caused a refusal of its own is not shown.

Cause: a peer that has just started and has read nothing yet answers that the changes were compacted. The instance then reads all keys, gets none at revision 0, which the mirror rightly ignores, and takes that for a success; it asks for changes again at once. With an empty mirror of its own it reads all keys again and again in the same way. Class of fault: a retry without a pause, after a reply that brought nothing.

A peer at revision 0 now counts as one that cannot be followed and is avoided for a while, as any peer to which a call failed.

--- a/internal/entry/edge/catchup_test.go
+++ b/internal/entry/edge/catchup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"time"
 
@@ -11,6 +12,8 @@
 	"github.com/rs/zerolog"
 
 	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/config/mirror"
+	"lacewingramp.example/lacewingramp/internal/peer/follower"
 	"lacewingramp.example/lacewingramp/internal/timer/wall"
 )
 
@@ -36,6 +39,74 @@
 	return l.Addr().String()
 }
 
+// emptySource is the source of a peer that has just started.
+type emptySource struct{}
+
+func (emptySource) Snapshot() ([]lacewingramp.KeyValue, lacewingramp.Position) {
+	return nil, lacewingramp.Position{}
+}
+
+func (emptySource) Since(after lacewingramp.Position) ([]lacewingramp.Change, lacewingramp.Position, bool) {
+	return new(mirror.Mirror).Since(after)
+}
+
+func (emptySource) Changed() <-chan struct{} { return nil }
+
+// silentStore is a store that does not respond.
+type silentStore struct{ Store }
+
+func (silentStore) Snapshot(ctx context.Context) ([]lacewingramp.KeyValue, lacewingramp.Position, error) {
+	<-ctx.Done()
+	return nil, lacewingramp.Position{}, ctx.Err()
+}
+
+func (silentStore) Changes(ctx context.Context, after lacewingramp.Position, _ time.Duration) ([]lacewingramp.Change, lacewingramp.Position, error) {
+	<-ctx.Done()
+	return nil, after, ctx.Err()
+}
+
+var _ = ginkgo.Describe("an instance that follows a peer without any keys", func() {
+	const revision = 5
+	var e *Edge
+	var address string
+	ginkgo.BeforeEach(func() {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		ginkgo.DeferCleanup(l.Close)
+		go func() { _ = follower.Serve(l, emptySource{}) }()
+		address = l.Addr().String()
+		e = New(Settings{Name: "self", Domain: "a", Region: "north", Regions: map[string]string{"a": "north"}},
+			Dependencies{Store: silentStore{}, Timer: wall.Timer{}, Log: zerolog.Nop()})
+		e.store.followAddress = address
+	})
+
+	// Guards against a loop without a pause: the peer has neither the changes nor a
+	// snapshot that is new to this instance.
+	ginkgo.It("leaves the peer", func(ctx context.Context) {
+		e.mirror.ApplySnapshot(nil, lacewingramp.Position{Revision: revision})
+		ctx, cancel := context.WithCancel(ctx)
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			e.follow(ctx)
+		}()
+		ginkgo.DeferCleanup(func() {
+			cancel()
+			<-ended
+		})
+		gomega.Eventually(func() map[string]time.Time {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return maps.Clone(e.store.avoidUntil)
+		}, 5*time.Second).Should(gomega.HaveKey(address))
+	})
+
+	// Guards against the same loop while this instance has no keys either.
+	ginkgo.It("does not take the peer's state for a snapshot", func(ctx context.Context) {
+		gomega.Expect(e.pull(ctx, &follower.ChangeFeed{Address: address}, true)).To(gomega.MatchError(errPeerEmpty))
+	})
+})
+
 var _ = ginkgo.Describe("an instance that is behind its peers", func() {
 	const behind, ahead = int64(5), int64(9)
 	var e *Edge
--- a/internal/entry/edge/edge_follow.go
+++ b/internal/entry/edge/edge_follow.go
@@ -114,6 +114,9 @@
 			needSnapshot = true
 		case interrupted:
 			// updateFollowAddress or catchUp has changed what to follow.
+		case errors.Is(err, errPeerEmpty) && e.position().Revision == 0:
+			// Both have just started, and every other instance may be as empty.
+			sleep(callCtx, minStoreBackoff)
 		case address != "":
 			e.followFailed(address, err)
 		default:
@@ -125,6 +128,12 @@
 	}
 }
 
+func (e *Edge) position() lacewingramp.Position {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.mirror.Position()
+}
+
 // feed returns the feed to read changes from, and its address if it is a peer. It
 // registers interrupt as the function that ends a waiting call on that feed.
 func (e *Edge) feed(interrupt func()) (lacewingramp.ChangeFeed, string) {
@@ -161,12 +170,14 @@
 	e.store.followAddress = ""
 }
 
+// errPeerEmpty is the error of a peer that has not read any keys yet. It can neither
+// send the changes after a revision nor all keys.
+var errPeerEmpty = errors.New("the peer has no keys yet")
+
 // pull applies the changes from a feed to the mirror, or replaces the mirror with a
 // snapshot if needSnapshot is set or the mirror is empty.
 func (e *Edge) pull(ctx context.Context, f lacewingramp.ChangeFeed, needSnapshot bool) error {
-	e.mu.Lock()
-	after := e.mirror.Position()
-	e.mu.Unlock()
+	after := e.position()
 	wait := storeLongPoll
 	if _, ok := f.(*follower.ChangeFeed); ok {
 		wait = peerLongPoll
@@ -185,6 +196,9 @@
 	if err != nil {
 		return err
 	}
+	if _, ok := f.(*follower.ChangeFeed); ok && position.Revision == 0 {
+		return errPeerEmpty
+	}
 	e.update(func() []lacewingramp.Change { return e.mirror.ApplySnapshot(keyValues, position) })
 	return nil
 }
