Keep the place of an instance that has lost the store among those that follow

Callers can see requests refused with 404 and 401 in a region that gets no changes.

Cause: an instance that loses the store followed the first of its region that still reaches it. The others don't know of the loss until its heartbeat comes, which takes several rounds in a large fleet. Until then the first of the others still follows the instance that has lost the store, so the two wait for each other, and neither watches the store. Catching up by heartbeats only softens this. Class of fault: an order that is the same for all, except for the one that leaves it.

Evidence: the new test fails before ("instances follow each other in a circle, Expected <int>: 41 to be <= <int>: 40").

The instance keeps its place in the order. If it is one of the two that watch the store, it follows the other one.

--- a/internal/entry/edge/edge_follow.go
+++ b/internal/entry/edge/edge_follow.go
@@ -282,38 +282,41 @@
 // follow the first of those two.
 //
 // An instance only follows one that comes before it in an order that is the same for all
-// instances. That excludes cycles, even if they know of different candidates.
+// instances. That excludes cycles, even if they know of different candidates. An instance
+// that cannot reach the store keeps its place in this order, as its followers may not know
+// yet. If it is one of the two that others expect to watch the store, it follows the other.
 func peerToFollow(self lacewingramp.Endpoint, candidates []lacewingramp.Endpoint, regions map[string]string) string {
+	if len(candidates) == 0 {
+		return ""
+	}
+	lost := !slices.ContainsFunc(candidates, func(p lacewingramp.Endpoint) bool { return p.Name == self.Name })
+	if lost {
+		candidates = append(slices.Clone(candidates), self)
+	}
 	ranked := rankForFollowing(candidates)
-	if len(ranked) == 0 {
+	watchers := watchersOf(ranked, regions)
+	if i := slices.IndexFunc(watchers, func(p lacewingramp.Endpoint) bool { return p.Name == self.Name }); i >= 0 {
+		if lost {
+			return watchers[1-i].Peer
+		}
 		return ""
 	}
-	first := ranked[0]
-	region := slices.DeleteFunc(slices.Clone(ranked), func(p lacewingramp.Endpoint) bool { return regions[p.Domain] != regions[self.Domain] })
+	region := slices.DeleteFunc(ranked, func(p lacewingramp.Endpoint) bool { return regions[p.Domain] != regions[self.Domain] })
 	position := slices.IndexFunc(region, func(p lacewingramp.Endpoint) bool { return p.Name == self.Name })
-	switch {
-	case position < 0 && len(region) == 0:
-		return first.Peer
-	case position < 0:
-		return region[0].Peer
-	case position > 0 && !(position == 1 && len(region) == len(ranked)):
-		return region[(position-1)/maxFollowers].Peer
-	case position > 0 || watchesForRegions(self, ranked, regions):
-		return ""
-	default:
-		return first.Peer
+	if position == 0 {
+		return watchers[0].Peer
 	}
+	return region[(position-1)/maxFollowers].Peer
 }
 
-// watchesForRegions reports whether the root of a region watches the store: the first
-// candidate does, and the first one of another region.
-func watchesForRegions(root lacewingramp.Endpoint, ranked []lacewingramp.Endpoint, regions map[string]string) bool {
-	first := ranked[0]
-	if root.Name == first.Name {
-		return true
+// watchersOf returns the instances that watch the store: the first one, and the first of
+// another region, or the second one if there is only one region.
+func watchersOf(ranked []lacewingramp.Endpoint, regions map[string]string) []lacewingramp.Endpoint {
+	if len(ranked) == 1 {
+		return ranked[:1:1]
 	}
-	second := slices.IndexFunc(ranked, func(p lacewingramp.Endpoint) bool { return regions[p.Domain] != regions[first.Domain] })
-	return second > 0 && ranked[second].Name == root.Name
+	second := slices.IndexFunc(ranked, func(p lacewingramp.Endpoint) bool { return regions[p.Domain] != regions[ranked[0].Domain] })
+	return []lacewingramp.Endpoint{ranked[0], ranked[max(1, second)]}
 }
 
 // watcherKey is the hash key by which all instances agree on who watches the store.
--- a/internal/entry/edge/follow_test.go
+++ b/internal/entry/edge/follow_test.go
@@ -116,6 +116,24 @@
 		}
 	})
 
+	// Guards against a region that gets no changes: its root has lost the store and follows
+	// an instance that does not know of this yet and waits for the root.
+	ginkgo.It("forms no circle when an instance has just lost the store", func() {
+		for _, domains := range [][]string{{"a"}, {"a", "b"}, {"a", "b", "c"}} {
+			all := fleet(40, domains...)
+			for lost := range all {
+				parent := parents(all)
+				known := slices.Delete(slices.Clone(all), lost, lost+1)
+				self := all[lost].Name
+				parent[self] = strings.TrimSuffix(peerToFollow(all[lost], known, regions), ":1")
+				gomega.Expect(parent[self]).NotTo(gomega.BeEmpty())
+				for _, p := range all {
+					depth(parent, p.Name)
+				}
+			}
+		}
+	})
+
 	ginkgo.It("is another instance if this one cannot reach the store, and none if no instance can", func() {
 		all := fleet(4, "a", "b")
 		gomega.Expect(peerToFollow(all[0], all[1:], regions)).NotTo(gomega.BeEmpty())
