Don't break off a peer's reply that is arriving to follow another peer

Callers can see requests refused with 404 and 401 by instances with an old table while the fleet changes.

Cause: one instance that joins or leaves early in the order moves most others of its region by one, and most of those to another parent. Each broke off its call at once, also in the middle of a table, and got the same changes from the new parent from the first byte on. Class of fault: a transfer that makes progress is dropped and started over.

Evidence: the new test fails before ("Expected <string>: to equal <string>: 127.0.0.1:44717", the peer was left while its reply arrived).

The instance now follows the other peer from the next tick after the reply has ended.

--- a/internal/entry/edge/catchup_test.go
+++ b/internal/entry/edge/catchup_test.go
@@ -139,6 +139,26 @@
 		gomega.Expect(e.mirror.Position().Revision).To(gomega.Equal(behind))
 	})
 
+	// Guards against a table that never arrives on a small link, because the transfer
+	// starts over at another peer whenever the instances of the region change.
+	ginkgo.It("lets a reply that is arriving end before it follows another peer", func(ctx context.Context) {
+		rest := make(chan struct{})
+		address := startSlowPeer(behind, rest)
+		e.store.followAddress = address
+		callCtx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		feed, _ := e.feed(cancel)
+		pulled := make(chan error, 1)
+		go func() { pulled <- e.pull(callCtx, feed, true) }()
+		gomega.Eventually(e.store.peerFeed.Receiving, 5*time.Second).Should(gomega.BeTrue())
+		e.updateFollowAddress(now)
+		gomega.Expect(e.store.followAddress).To(gomega.Equal(address))
+		close(rest)
+		gomega.Eventually(pulled, 5*time.Second).Should(gomega.Receive(gomega.BeNil()))
+		e.updateFollowAddress(now)
+		gomega.Expect(e.store.followAddress).To(gomega.BeEmpty())
+	})
+
 	ginkgo.It("leaves a followed peer that sends nothing", func(ctx context.Context) {
 		e.store.followAddress = "127.0.0.1:1"
 		interrupted := false
--- a/internal/entry/edge/edge_follow.go
+++ b/internal/entry/edge/edge_follow.go
@@ -237,8 +237,9 @@
 	e.Log.Info().Dur("away", now.Sub(e.store.lostAt)).Int64("revision", e.mirror.Position().Revision).Msg("regained the store")
 }
 
-// updateFollowAddress decides whether this instance watches the store itself, as one of
-// the two watchers, or which of the watchers it follows.
+// updateFollowAddress decides whether this instance watches the store itself, or which
+// peer it follows. A change waits for the end of a reply that is arriving, as the other
+// peer would send the changes from the first byte on.
 func (e *Edge) updateFollowAddress(now time.Time) {
 	if !e.watches(now) && !e.peers.StoreWatched(now) {
 		e.store.lastOutage = now
@@ -253,7 +254,7 @@
 		candidates = append(candidates, e.self)
 	}
 	followAddress := peerToFollow(e.self, candidates, e.Regions)
-	if followAddress == e.store.followAddress {
+	if followAddress == e.store.followAddress || e.receivesChanges() {
 		return
 	}
 	e.Log.Info().Str("from", followAddress).Bool("lost", e.store.lost).Msg("now following a peer, or watching the store if the peer address is empty")
