Spread the instances of a region that has lost the store over the others

Callers can see requests refused with 404 and 401 in a region that is cut off from the store only.

Cause: where no instance of a region reaches the store, all of them followed the first watcher, whatever their number. The tree bounds followers only among instances that reach the store.

Evidence: the new test, with 30 of 90 instances, fails before ("edge-56:1 Expected <int>: 30 to be <= <int>: 6").

Each of them now follows one of all the instances that reach the store, by rendezvous hashing with its own name. None of those waits for an instance of that region, so that there is no cycle.

--- a/internal/entry/edge/edge_follow.go
+++ b/internal/entry/edge/edge_follow.go
@@ -286,10 +286,12 @@
 // instances. That excludes cycles, even if they know of different candidates. An instance
 // that cannot reach the store keeps its place in this order, as its followers may not know
 // yet. If it is one of the two that others expect to watch the store, it follows the other.
+// If no instance of its region can reach the store, it follows any other candidate.
 func peerToFollow(self lacewingramp.Endpoint, candidates []lacewingramp.Endpoint, regions map[string]string) string {
 	if len(candidates) == 0 {
 		return ""
 	}
+	reaching := candidates
 	lost := !slices.ContainsFunc(candidates, func(p lacewingramp.Endpoint) bool { return p.Name == self.Name })
 	if lost {
 		candidates = append(slices.Clone(candidates), self)
@@ -304,10 +306,23 @@
 	}
 	region := slices.DeleteFunc(ranked, func(p lacewingramp.Endpoint) bool { return regions[p.Domain] != regions[self.Domain] })
 	position := slices.IndexFunc(region, func(p lacewingramp.Endpoint) bool { return p.Name == self.Name })
-	if position == 0 {
+	switch {
+	case lost && len(region) == 1:
+		return anyOf(reaching, self.Name).Peer
+	case position == 0:
 		return watchers[0].Peer
+	default:
+		return region[(position-1)/maxFollowers].Peer
 	}
-	return region[(position-1)/maxFollowers].Peer
+}
+
+// anyOf returns one of the candidates, another one for different names.
+func anyOf(candidates []lacewingramp.Endpoint, name string) lacewingramp.Endpoint {
+	names := make([]string, len(candidates))
+	for i, p := range candidates {
+		names[i] = p.Name
+	}
+	return candidates[slices.Index(names, rendezvous.Owner(name, names))]
 }
 
 // watchersOf returns the instances that watch the store: the first one, and the first of
--- a/internal/entry/edge/follow_test.go
+++ b/internal/entry/edge/follow_test.go
@@ -134,6 +134,24 @@
 		}
 	})
 
+	// Guards against a region that has lost the store and of which all instances get each
+	// table from the same one.
+	ginkgo.It("is not the same for all instances of a region that has lost the store", func() {
+		all := fleet(90, "a", "b", "c")
+		for _, region := range []string{"a", "b", "c"} {
+			reaching := slices.DeleteFunc(slices.Clone(all), func(p lacewingramp.Endpoint) bool { return p.Domain == region })
+			followers := make(map[string]int)
+			for _, self := range all {
+				if self.Domain == region {
+					followers[peerToFollow(self, reaching, regions)]++
+				}
+			}
+			for p, count := range followers {
+				gomega.Expect(count).To(gomega.BeNumerically("<=", maxFollowers), p)
+			}
+		}
+	})
+
 	ginkgo.It("is another instance if this one cannot reach the store, and none if no instance can", func() {
 		all := fleet(4, "a", "b")
 		gomega.Expect(peerToFollow(all[0], all[1:], regions)).NotTo(gomega.BeEmpty())
