Watch the store if no other instance does while programs of two versions run

Callers can see requests refused with 404 and 401 by the whole fleet while a new program replaces an older one.

Cause: older programs expect the owners of a hash key to watch the store, newer ones the instances with the most capacity. Where the former run the new program and the latter the old one, each waits for the other, and nobody watches the store; catching up by heartbeats does not help, as nobody is ahead. Class of fault: a choice without messages between instances that relies on the same rule at all of them.

Evidence: the new test fails before ("Expected <string>: edge-2:1 to be empty").

After 2 s in which no peer says that it watches the store, the owner of that key does so, until a peer does.

--- a/internal/entry/edge/edge_follow.go
+++ b/internal/entry/edge/edge_follow.go
@@ -33,6 +33,9 @@
 	// the store.
 	minStoreBackoff = 100 * time.Millisecond
 	maxStoreBackoff = time.Second
+	// unwatchedTime is how long no instance may seem to watch the store before one does
+	// so whatever its place in the tree.
+	unwatchedTime = 2 * time.Second
 	// catchUpDelay is how long a peer must be at a newer revision before this
 	// instance catches up from it. A change normally reaches all instances within
 	// some tens of milliseconds.
@@ -52,6 +55,8 @@
 //   - respondedAt is when the store last responded to this instance.
 //   - lastOutage is the last time at which neither this instance nor any known peer
 //     had a working watch of the store.
+//   - watchedAt is the last time at which a peer watched the store, or the time of the
+//     first tick.
 //   - interrupt ends the call that waits for changes.
 //   - catchingUp is set while catchUp reads from a peer.
 //   - followAddress is the address of the peer to follow, empty if this instance
@@ -63,6 +68,7 @@
 	lostAt        time.Time
 	respondedAt   time.Time
 	lastOutage    time.Time
+	watchedAt     time.Time
 	interrupt     func()
 	catchingUp    bool
 	followAddress string
@@ -254,6 +260,9 @@
 		candidates = append(candidates, e.self)
 	}
 	followAddress := peerToFollow(e.self, candidates, e.Regions)
+	if e.replacesWatchers(now, candidates) {
+		followAddress = ""
+	}
 	if followAddress == e.store.followAddress || e.receivesChanges() {
 		return
 	}
@@ -262,6 +271,23 @@
 	e.store.interrupt()
 }
 
+// replacesWatchers reports whether this instance has to watch the store because no peer
+// does. That happens while instances disagree on who does: older programs, which don't
+// form a tree, expect it of the owner of watcherKey. The caller must hold e.mu.
+func (e *Edge) replacesWatchers(now time.Time, candidates []lacewingramp.Endpoint) bool {
+	if e.store.watchedAt.IsZero() || e.peers.StoreWatched(now) {
+		e.store.watchedAt = now
+	}
+	if now.Sub(e.store.watchedAt) < unwatchedTime {
+		return false
+	}
+	names := make([]string, len(candidates))
+	for i, p := range candidates {
+		names[i] = p.Name
+	}
+	return rendezvous.Owner(watcherKey, names) == e.Name
+}
+
 // watches reports whether this instance watches the store and the store responds.
 func (e *Edge) watches(now time.Time) bool {
 	return e.store.followAddress == "" && !e.store.lost && now.Sub(e.store.respondedAt) < maxResponseAge
--- a/internal/entry/edge/follow_test.go
+++ b/internal/entry/edge/follow_test.go
@@ -5,11 +5,15 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/peer/rendezvous"
+	"lacewingramp.example/lacewingramp/internal/timer/wall"
 )
 
 var _ = ginkgo.Describe("the peer to follow", func() {
@@ -152,6 +156,37 @@
 		}
 	})
 
+	// Guards against a fleet in which nobody watches the store: older programs expect this
+	// of others than newer ones.
+	ginkgo.It("is none for the instance that older programs expect to watch the store, if none does", func() {
+		now := time.Now()
+		all := fleet(12, "a", "b")
+		names := make([]string, len(all))
+		for i := range all {
+			names[i] = all[i].Name
+			all[i].Capacity = 1 << 20
+		}
+		owner := slices.Index(names, rendezvous.Owner(watcherKey, names))
+		e := New(Settings{Name: all[owner].Name, Domain: all[owner].Domain, Region: regions[all[owner].Domain], Regions: regions},
+			Dependencies{Timer: wall.Timer{}, Log: zerolog.Nop()})
+		hear := func(at time.Time, watches bool) {
+			for i, p := range all {
+				if i != owner {
+					e.peers.Record(at, &lacewingramp.Heartbeat{Endpoint: p, Revision: 1, ReachesStore: true, WatchesStore: watches})
+				}
+			}
+			e.updateFollowAddress(at)
+		}
+		hear(now, true)
+		gomega.Expect(e.store.followAddress).NotTo(gomega.BeEmpty())
+		hear(now.Add(time.Second), false)
+		gomega.Expect(e.store.followAddress).NotTo(gomega.BeEmpty())
+		hear(now.Add(time.Second+unwatchedTime), false)
+		gomega.Expect(e.store.followAddress).To(gomega.BeEmpty())
+		hear(now.Add(2*time.Second+unwatchedTime), true)
+		gomega.Expect(e.store.followAddress).NotTo(gomega.BeEmpty())
+	})
+
 	ginkgo.It("is another instance if this one cannot reach the store, and none if no instance can", func() {
 		all := fleet(4, "a", "b")
 		gomega.Expect(peerToFollow(all[0], all[1:], regions)).NotTo(gomega.BeEmpty())
