Stop reading a response as soon as its body is too large

What callers saw: a target that sent a body without end, in chunks or with a length far above the limit, held its request until the deadline. The request ended with 504 and was not retried at another target, and all bytes that came until then were read.

Cause: message.Response closed the body, and closing a body of net/http reads the rest of it. A length above the limit was noticed only after the whole limit had been read.

Ruled out: a body without a length, which passed before; endless extensions of chunks and trailers, which net/http limits.

Change: the body is not closed, as the connection is; a length above the limit is refused at the head. Responses of exactly the limit still pass, in all three forms.

--- a/internal/call/message/message.go
+++ b/internal/call/message/message.go
@@ -87,7 +87,10 @@
 	return &Reader{Reader: bufio.NewReaderSize(l, bufferSize), limit: l}
 }
 
-var errHeaderSize = errors.New("header too large")
+var (
+	errHeaderSize       = errors.New("header too large")
+	errBodySize   error = &FormatError{Status: http.StatusBadGateway, Detail: "response body too large"}
+)
 
 // limitReader fails after the remaining bytes have been read. There is no limit if
 // remaining is negative.
@@ -195,7 +198,7 @@
 func (r *Reader) Response(method string) (*Response, error) {
 	for {
 		r.limit.remaining = maxResponseHeader
-		resp, err := http.ReadResponse(r.Reader, &http.Request{Method: method}) //nolint:bodyclose // readResponse closes it
+		resp, err := http.ReadResponse(r.Reader, &http.Request{Method: method}) //nolint:bodyclose // see readResponse
 		r.limit.remaining = -1
 		if err != nil {
 			return nil, err
@@ -207,11 +210,22 @@
 	}
 }
 
+// readResponse reads the body of a response. It does not close the body, which would
+// read the rest of one that is too large.
 func readResponse(resp *http.Response) (*Response, error) {
-	defer func() { _ = resp.Body.Close() }()
 	response := &Response{Status: resp.StatusCode, Header: resp.Header, Close: resp.Close}
+	// A body with neither a length nor chunks ends when the connection is closed.
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		response.Close = true
+	}
+	if resp.Body == http.NoBody {
+		return response, nil
+	}
+	if resp.ContentLength > MaxResponseBody {
+		return nil, errBodySize
+	}
 	var b bytes.Buffer
-	if resp.ContentLength > 0 && resp.ContentLength <= MaxResponseBody {
+	if resp.ContentLength > 0 {
 		b.Grow(int(resp.ContentLength) + bytes.MinRead)
 	}
 	n, err := b.ReadFrom(io.LimitReader(resp.Body, MaxResponseBody+1))
@@ -219,13 +233,9 @@
 		return nil, err
 	}
 	if n > MaxResponseBody {
-		return nil, &FormatError{Status: http.StatusBadGateway, Detail: "response body too large"}
+		return nil, errBodySize
 	}
 	response.Body = b.Bytes()
-	// A body with neither a length nor chunks ends when the connection is closed.
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		response.Close = true
-	}
 	return response, nil
 }
 
