Do not take bytes that are no response for a broken connection

What callers saw: after a target had sent a head without end, or other bytes that are no response, on a connection that was still open, the request waited for a new connection to the target, up to 200 ms, before it ended or went to another target. If that connection was not accepted in time, the request counted as one that crashes its targets, and later ones like it were refused.

Cause: the exchange took every error of the reader but a FormatError for a connection that the target had closed, and the reader returned errors about the bytes as they were.

Evidence: the new test "an exchange with a target that sends bytes without end" failed before in four forms: "header too large", "malformed HTTP response "x"" and "chunked encoding contains too much non-data", each with ConnectionBroken "Expected true to be false". The refusals follow from the code and were not provoked.

Change: the reader returns a FormatError unless reading from the connection itself has failed, which it remembers. Connections that the target closes in a head, a body, a chunk or a trailer still count as broken (tested).

--- a/internal/call/message/endless_test.go
+++ b/internal/call/message/endless_test.go
@@ -61,11 +61,29 @@
 			gomega.Expect(f.Status).To(gomega.Equal(http.StatusBadGateway))
 			gomega.Expect(s.sent).To(gomega.BeNumerically("<=", limit+readAhead))
 		},
+		ginkgo.Entry("in the status line", "", "x", maxHead),
+		ginkgo.Entry("in the reason of the status", "HTTP/1.1 200 ", "x", maxHead),
+		ginkgo.Entry("in a header line", head+"X: ", "x", maxHead),
+		ginkgo.Entry("in header lines", head, "X: y\r\n", maxHead),
 		ginkgo.Entry("in the body, with a length", head+"Content-Length: 1000000000\r\n\r\n", "x", maxHead),
 		ginkgo.Entry("in the body, without a length", head+"\r\n", "x", message.MaxResponseBody),
 		ginkgo.Entry("in the body, in chunks", head+"Transfer-Encoding: chunked\r\n\r\n", chunk, message.MaxResponseBody*101/100),
 	)
 
+	// Guards against reading on where a body is framed by more bytes than it has.
+	ginkgo.DescribeTable("is an error if it never ends around its chunks, and is read no further",
+		func(start, pattern string) {
+			s := &sender{start: head + "Transfer-Encoding: chunked\r\n\r\n" + start, pattern: pattern}
+			_, err := message.NewReader(s).Response(http.MethodGet)
+			gomega.Expect(err).To(gomega.HaveOccurred())
+			gomega.Expect(s.sent).To(gomega.BeNumerically("<=", 2*maxHead))
+		},
+		ginkgo.Entry("in an extension", "1;", "x"),
+		ginkgo.Entry("in extensions of many chunks", "", "1;"+strings.Repeat("x", 1<<10)+"\r\ny\r\n"),
+		ginkgo.Entry("in a trailer", "0\r\nX: ", "x"),
+		ginkgo.Entry("in trailers", "0\r\n", "X: y\r\n"),
+	)
+
 	// Guards against cutting the largest response that is legal.
 	ginkgo.DescribeTable("is told from one of the maximum size, which is read completely",
 		func(start, end string) {
--- a/internal/call/message/message.go
+++ b/internal/call/message/message.go
@@ -93,10 +93,11 @@
 )
 
 // limitReader fails after the remaining bytes have been read. There is no limit if
-// remaining is negative.
+// remaining is negative. err is the last error of the reader below it.
 type limitReader struct {
 	reader    io.Reader
 	remaining int64
+	err       error
 }
 
 func (l *limitReader) Read(p []byte) (int, error) {
@@ -110,6 +111,7 @@
 	if l.remaining > 0 {
 		l.remaining -= int64(n)
 	}
+	l.err = err
 	return n, err
 }
 
@@ -194,20 +196,37 @@
 }
 
 // Response reads one response to a request with the given method. Interim responses
-// are skipped.
+// are skipped. Its error is a FormatError unless the connection has failed.
 func (r *Reader) Response(method string) (*Response, error) {
 	for {
 		r.limit.remaining = maxResponseHeader
 		resp, err := http.ReadResponse(r.Reader, &http.Request{Method: method}) //nolint:bodyclose // see readResponse
-		r.limit.remaining = -1
 		if err != nil {
-			return nil, err
+			return nil, r.responseError(err)
 		}
+		r.limit.remaining = -1
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		return readResponse(resp)
+		response, err := readResponse(resp)
+		if err != nil {
+			return nil, r.responseError(err)
+		}
+		return response, nil
+	}
+}
+
+// responseError returns an error as it is if the connection has failed, and any other
+// as a FormatError.
+func (r *Reader) responseError(err error) error {
+	var formatErr *FormatError
+	switch {
+	case r.limit.remaining == 0:
+		return &FormatError{Status: http.StatusBadGateway, Detail: errHeaderSize.Error()}
+	case r.limit.err != nil || errors.As(err, &formatErr):
+		return err
 	}
+	return &FormatError{Status: http.StatusBadGateway, Detail: err.Error()}
 }
 
 // readResponse reads the body of a response. It does not close the body, which would
