Limit the interim responses that are read before a response

What callers saw: a target that sent interim responses without end held its request until the deadline, however fast it sent.

Cause: the limit of 64 KiB applied to each interim response, not to all of them, and they were skipped without end.

Evidence: two new entries of the test "a response without end" failed before: all 64 MiB were read, and the error was "unexpected EOF" instead of a FormatError. The same entry of the test of the exchange failed with ConnectionBroken "Expected true to be false", as only the end of the connection ended it; with a target that never closed, it did not end within ten minutes.

Change: one limit for the headers of a response and the interim ones before it.

--- a/internal/call/exchange/endless_test.go
+++ b/internal/call/exchange/endless_test.go
@@ -15,9 +15,9 @@
 	"lacewingramp.example/lacewingramp/internal/call/exchange"
 )
 
-// flood is how many bytes a target that never ends sends in these tests. It then
-// waits for the client to close the connection.
-const flood = 256 << 20
+// flood is how many bytes a target that never ends sends in these tests. Then it
+// closes the connection.
+const flood = 64 << 20
 
 // endlessTarget responds to each request with start, and then sends pattern again and
 // again. cutOff counts its connections that the client closed before flood bytes.
@@ -61,7 +61,6 @@
 			return
 		}
 	}
-	_, _ = reader.ReadByte()
 }
 
 var _ = ginkgo.Describe("an exchange with a target that sends bytes without end", func() {
@@ -84,6 +83,7 @@
 		},
 		ginkgo.Entry("before a status line", "", "x"),
 		ginkgo.Entry("in header lines", head, "X: y\r\n"),
+		ginkgo.Entry("in interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"),
 		ginkgo.Entry("in lines that are not HTTP", "", "x\r\n"),
 		ginkgo.Entry("in extensions of chunks", head+"Transfer-Encoding: chunked\r\n\r\n", "1;"+strings.Repeat("x", 1<<10)+"\r\ny\r\n"),
 		ginkgo.Entry("in a body with a length", head+"Content-Length: 1000000000\r\n\r\n", "x"),
--- a/internal/call/message/endless_test.go
+++ b/internal/call/message/endless_test.go
@@ -65,6 +65,8 @@
 		ginkgo.Entry("in the reason of the status", "HTTP/1.1 200 ", "x", maxHead),
 		ginkgo.Entry("in a header line", head+"X: ", "x", maxHead),
 		ginkgo.Entry("in header lines", head, "X: y\r\n", maxHead),
+		ginkgo.Entry("in interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n", maxHead),
+		ginkgo.Entry("in interim responses with header lines", "", "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n", maxHead),
 		ginkgo.Entry("in the body, with a length", head+"Content-Length: 1000000000\r\n\r\n", "x", maxHead),
 		ginkgo.Entry("in the body, without a length", head+"\r\n", "x", message.MaxResponseBody),
 		ginkgo.Entry("in the body, in chunks", head+"Transfer-Encoding: chunked\r\n\r\n", chunk, message.MaxResponseBody*101/100),
--- a/internal/call/message/message.go
+++ b/internal/call/message/message.go
@@ -30,6 +30,8 @@
 
 // Limits of messages, in bytes.
 const (
+	// maxResponseHeader is the maximum size of the headers of a response and of the
+	// interim ones before it together.
 	maxResponseHeader = 64 << 10
 	// MaxResponseBody is the maximum size of a response body.
 	MaxResponseBody = 16 << 20
@@ -198,16 +200,16 @@
 // Response reads one response to a request with the given method. Interim responses
 // are skipped. Its error is a FormatError unless the connection has failed.
 func (r *Reader) Response(method string) (*Response, error) {
+	r.limit.remaining = maxResponseHeader
 	for {
-		r.limit.remaining = maxResponseHeader
 		resp, err := http.ReadResponse(r.Reader, &http.Request{Method: method}) //nolint:bodyclose // see readResponse
 		if err != nil {
 			return nil, r.responseError(err)
 		}
-		r.limit.remaining = -1
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
+		r.limit.remaining = -1
 		response, err := readResponse(resp)
 		if err != nil {
 			return nil, r.responseError(err)
