Limit the responses to other requests that are skipped

What callers saw: a target that sent whole responses with another request's id without end held its request until the deadline.

Cause: such responses are skipped, as one may arrive late, but without a limit.

Evidence: two new entries of the test "an exchange with a target that sends bytes without end" failed before, with small and with large responses: only the end of the connection after 64 MiB ended it ("unexpected EOF", ConnectionBroken "Expected true to be false").

Change: at most eight are skipped for one request, and their bodies together may be as large as the largest response. Seven late responses, one of 16 MB, before the right one still pass (tested).

--- a/internal/call/exchange/endless_test.go
+++ b/internal/call/exchange/endless_test.go
@@ -84,6 +84,8 @@
 		ginkgo.Entry("before a status line", "", "x"),
 		ginkgo.Entry("in header lines", head, "X: y\r\n"),
 		ginkgo.Entry("in interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"),
+		ginkgo.Entry("in small responses to other requests", "", "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 2\r\n\r\nno"),
+		ginkgo.Entry("in large responses to other requests", "", "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 12000000\r\n\r\n"+strings.Repeat("x", 12_000_000)),
 		ginkgo.Entry("in lines that are not HTTP", "", "x\r\n"),
 		ginkgo.Entry("in extensions of chunks", head+"Transfer-Encoding: chunked\r\n\r\n", "1;"+strings.Repeat("x", 1<<10)+"\r\ny\r\n"),
 		ginkgo.Entry("in a body with a length", head+"Content-Length: 1000000000\r\n\r\n", "x"),
@@ -91,6 +93,15 @@
 		ginkgo.Entry("in a body in chunks", head+"Transfer-Encoding: chunked\r\n\r\n", "1000\r\n"+strings.Repeat("x", 0x1000)+"\r\n"),
 	)
 
+	// Guards against cutting a target off for a few late responses.
+	ginkgo.It("differs from one that sends some late responses before the right one", func(ctx context.Context) {
+		late := strings.Repeat(response2, 6) + "HTTP/1.1 200 OK\r\nId: 3\r\nContent-Length: 16000000\r\n\r\n" + strings.Repeat("x", 16_000_000)
+		c := &exchange.Client{HeaderCodec: testCodec{}}
+		r := c.Do(ctx, startTarget(late+response1).targetRequest("1", true))
+		gomega.Expect(r.Err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(string(r.Response.Body)).To(gomega.Equal("ok"))
+	})
+
 	// Guards against no longer noticing that a target has closed or reset the connection.
 	ginkgo.It("differs from one whose target closes the connection", func(ctx context.Context) {
 		c := &exchange.Client{HeaderCodec: testCodec{}}
--- a/internal/call/exchange/exchange.go
+++ b/internal/call/exchange/exchange.go
@@ -47,6 +47,10 @@
 	nonIdempotentMaxIdle = 2 * time.Second
 	// maxIdlePerTarget is the maximum number of idle connections to one target.
 	maxIdlePerTarget = 4
+	// maxSkipped is the maximum number of responses to earlier requests that are
+	// skipped for one request. Their bodies together may be as large as the largest
+	// response.
+	maxSkipped = 8
 
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
@@ -139,7 +143,7 @@
 }
 
 // exchange sends the request and reads the response with the request's ID. Responses to
-// earlier requests are skipped.
+// earlier requests are skipped, within limits.
 func (c *Client) exchange(conn *connection, req TargetRequest) Result {
 	result := Result{Verdict: lacewingramp.MayHaveRun}
 	n, err := conn.Write(message.AppendRequest(nil, req.Request, req.Header))
@@ -147,7 +151,8 @@
 		result.Verdict = lacewingramp.NotRun
 	}
 	writeErr := err
-	for {
+	skippedBytes := 0
+	for range maxSkipped + 1 {
 		resp, err := conn.reader.Response(req.Request.Method)
 		if err != nil {
 			result.Err = errors.Join(writeErr, err)
@@ -160,11 +165,16 @@
 				result.Err = errors.New("the target closed the connection after a response to another request")
 				return result
 			}
+			if skippedBytes += len(resp.Body); skippedBytes > message.MaxResponseBody {
+				break
+			}
 			continue
 		}
 		resp.Close = resp.Close || writeErr != nil
 		return withResponse(result, resp, headers)
 	}
+	result.Err = errors.New("the target sent too many responses to other requests")
+	return result
 }
 
 func withResponse(result Result, resp *message.Response, headers lacewingramp.ResponseHeaders) Result {
