Take up memory for a response's body only as it is received

A target that announced bodies of 16 MiB took up 16 MiB of the instance's heap for each request without sending any of it. Whether an instance ends by that was not run.

Cause: the buffer was made for the announced length before the first byte of the body.

Evidence: the new test "takes no more memory than was received, whatever its length says" failed before, for ten responses: "Expected to be < 1048576".

Change: the buffer starts with 32 KiB at most, which the bodies of ordinary responses fit, and is doubled as bytes arrive.

--- /dev/null
+++ b/internal/call/message/body.go
@@ -0,0 +1,68 @@
+package message
+
+import (
+	"errors"
+	"io"
+)
+
+// Sizes of the first buffer for a response body, in bytes. It is doubled whenever it is
+// full, so that memory is taken up by bytes that were received and not by a length that
+// was announced.
+const (
+	// announcedBodySize is its maximum size for a body with a length.
+	announcedBodySize = 32 << 10
+	// unknownBodySize is its size for a body without one.
+	unknownBodySize = 4 << 10
+)
+
+// body is a response body that is being read.
+type body struct {
+	buf []byte
+}
+
+// readBody reads a body to its end. length is -1 if it is not known.
+func readBody(r io.Reader, length int64) ([]byte, error) {
+	limit, size := MaxResponseBody, unknownBodySize
+	if length >= 0 {
+		limit, size = int(length), min(int(length), announcedBodySize)
+	}
+	b := &body{buf: make([]byte, 0, size)}
+	for len(b.buf) < limit {
+		if len(b.buf) == cap(b.buf) {
+			b.grow(limit)
+		}
+		n, err := r.Read(b.buf[len(b.buf):cap(b.buf)])
+		b.buf = b.buf[:len(b.buf)+n]
+		if errors.Is(err, io.EOF) {
+			return b.buf, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	if length >= 0 {
+		return b.buf, nil
+	}
+	return b.buf, expectEnd(r)
+}
+
+// grow doubles the buffer, up to limit.
+func (b *body) grow(limit int) {
+	size := min(limit, 2*cap(b.buf))
+	larger := make([]byte, len(b.buf), size)
+	copy(larger, b.buf)
+	b.buf = larger
+}
+
+// expectEnd checks that a body of the maximum size has come to its end.
+func expectEnd(r io.Reader) error {
+	var next [1]byte
+	_, err := io.ReadFull(r, next[:])
+	switch {
+	case err == nil:
+		return errBodySize
+	case errors.Is(err, io.EOF):
+		return nil
+	}
+	return err
+}
--- a/internal/call/message/endless_test.go
+++ b/internal/call/message/endless_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
 
 	"github.com/onsi/ginkgo/v2"
@@ -106,4 +107,16 @@
 		gomega.Expect(resp.Body).To(gomega.BeEmpty())
 		gomega.Expect(resp.Close).To(gomega.BeFalse())
 	})
+
+	// Guards against memory that a sender takes up by announcing a body, without sending it.
+	ginkgo.It("takes no more memory than was received, whatever its length says", func() {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		for range 10 {
+			_, err := message.NewReader(strings.NewReader(head + "Content-Length: 16777216\r\n\r\nabc")).Response(http.MethodGet)
+			gomega.Expect(err).To(gomega.MatchError(io.ErrUnexpectedEOF))
+		}
+		runtime.ReadMemStats(&after)
+		gomega.Expect(after.TotalAlloc - before.TotalAlloc).To(gomega.BeNumerically("<", 1<<20))
+	})
 })
--- a/internal/call/message/message.go
+++ b/internal/call/message/message.go
@@ -16,7 +16,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -245,18 +244,11 @@
 	if resp.ContentLength > MaxResponseBody {
 		return nil, errBodySize
 	}
-	var b bytes.Buffer
-	if resp.ContentLength > 0 {
-		b.Grow(int(resp.ContentLength) + bytes.MinRead)
-	}
-	n, err := b.ReadFrom(io.LimitReader(resp.Body, MaxResponseBody+1))
+	var err error
+	response.Body, err = readBody(resp.Body, resp.ContentLength)
 	if err != nil {
 		return nil, err
 	}
-	if n > MaxResponseBody {
-		return nil, errBodySize
-	}
-	response.Body = b.Bytes()
 	return response, nil
 }
 
