Bound the memory of all response bodies that are being read

Bodies that never end, each within its own limit of 16 MiB, could take up memory for every request in flight until its deadline, many times the memory of an instance.

Cause: a limit for one response, none for all.

Whether an instance ends by that was not run.

Change: a budget of a quarter of the memory limit in the settings, 32 MiB at least, from which buffers above 32 KiB are taken while they are filled. A body for which nothing is left ends as one that is too large does. Ordinary responses take nothing from it, and one of the maximum size fits alone. Without a memory limit there is no bound.

Remains: whole responses that wait to be written to their callers are not counted.

--- a/internal/call/exchange/exchange.go
+++ b/internal/call/exchange/exchange.go
@@ -94,6 +94,8 @@
 // concurrent use.
 type Client struct {
 	HeaderCodec lacewingramp.HeaderCodec
+	// Budget bounds the memory of the responses that are being read.
+	Budget *message.Budget
 
 	idle idlePool
 }
@@ -139,7 +141,9 @@
 	if err != nil {
 		return nil, true, err
 	}
-	return &connection{Conn: raw, reader: message.NewReader(raw)}, true, nil
+	reader := message.NewReader(raw)
+	reader.Budget = c.Budget
+	return &connection{Conn: raw, reader: reader}, true, nil
 }
 
 // exchange sends the request and reads the response with the request's ID. Responses to
--- a/internal/call/message/body.go
+++ b/internal/call/message/body.go
@@ -15,21 +15,26 @@
 	unknownBodySize = 4 << 10
 )
 
-// body is a response body that is being read.
+// body is a response body that is being read. taken is the memory taken from budget.
 type body struct {
-	buf []byte
+	buf    []byte
+	budget *Budget
+	taken  int
 }
 
 // readBody reads a body to its end. length is -1 if it is not known.
-func readBody(r io.Reader, length int64) ([]byte, error) {
+func readBody(r io.Reader, length int64, budget *Budget) ([]byte, error) {
 	limit, size := MaxResponseBody, unknownBodySize
 	if length >= 0 {
 		limit, size = int(length), min(int(length), announcedBodySize)
 	}
-	b := &body{buf: make([]byte, 0, size)}
+	b := &body{buf: make([]byte, 0, size), budget: budget}
+	defer func() { b.budget.giveBack(b.taken) }()
 	for len(b.buf) < limit {
 		if len(b.buf) == cap(b.buf) {
-			b.grow(limit)
+			if err := b.grow(limit); err != nil {
+				return nil, err
+			}
 		}
 		n, err := r.Read(b.buf[len(b.buf):cap(b.buf)])
 		b.buf = b.buf[:len(b.buf)+n]
@@ -47,11 +52,21 @@
 }
 
 // grow doubles the buffer, up to limit.
-func (b *body) grow(limit int) {
+func (b *body) grow(limit int) error {
 	size := min(limit, 2*cap(b.buf))
+	need := 0
+	if size > announcedBodySize {
+		need = size
+	}
+	if !b.budget.take(need) {
+		return errBodyBudget
+	}
 	larger := make([]byte, len(b.buf), size)
 	copy(larger, b.buf)
 	b.buf = larger
+	b.budget.giveBack(b.taken)
+	b.taken = need
+	return nil
 }
 
 // expectEnd checks that a body of the maximum size has come to its end.
--- /dev/null
+++ b/internal/call/message/budget.go
@@ -0,0 +1,50 @@
+package message
+
+import (
+	"net/http"
+	"sync/atomic"
+)
+
+// Budget bounds the memory of all response bodies that are being read at one time. A
+// body takes memory from it only beyond the size of an ordinary one, so that ordinary
+// responses are still read while others have used it up. A nil Budget has no bound. It
+// is safe for concurrent use.
+type Budget struct {
+	free atomic.Int64
+}
+
+var errBodyBudget error = &FormatError{Status: http.StatusBadGateway, Detail: "too many large response bodies at one time"}
+
+// NewBudget returns a Budget for a process with the given memory limit in bytes.
+func NewBudget(memory int64) *Budget {
+	b := &Budget{}
+	b.free.Store(max(minBudget, memory/budgetFraction))
+	return b
+}
+
+const (
+	// budgetFraction is the part of a process's memory that its Budget holds: one in
+	// budgetFraction.
+	budgetFraction = 4
+	// minBudget is enough for one response of the maximum size. While its buffer is
+	// doubled, the old and the new one exist.
+	minBudget = 2 * MaxResponseBody
+)
+
+// take takes n bytes, and reports false if fewer are free.
+func (b *Budget) take(n int) bool {
+	if b == nil {
+		return true
+	}
+	if b.free.Add(-int64(n)) >= 0 {
+		return true
+	}
+	b.free.Add(int64(n))
+	return false
+}
+
+func (b *Budget) giveBack(n int) {
+	if b != nil {
+		b.free.Add(int64(n))
+	}
+}
--- a/internal/call/message/message.go
+++ b/internal/call/message/message.go
@@ -79,6 +79,9 @@
 // Reader reads messages from one connection.
 type Reader struct {
 	*bufio.Reader
+	// Budget bounds the memory of response bodies.
+	Budget *Budget
+
 	limit *limitReader
 }
 
@@ -209,7 +212,7 @@
 			continue
 		}
 		r.limit.remaining = -1
-		response, err := readResponse(resp)
+		response, err := r.readResponse(resp)
 		if err != nil {
 			return nil, r.responseError(err)
 		}
@@ -232,7 +235,7 @@
 
 // readResponse reads the body of a response. It does not close the body, which would
 // read the rest of one that is too large.
-func readResponse(resp *http.Response) (*Response, error) {
+func (r *Reader) readResponse(resp *http.Response) (*Response, error) {
 	response := &Response{Status: resp.StatusCode, Header: resp.Header, Close: resp.Close}
 	// A body with neither a length nor chunks ends when the connection is closed.
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
@@ -245,7 +248,7 @@
 		return nil, errBodySize
 	}
 	var err error
-	response.Body, err = readBody(resp.Body, resp.ContentLength)
+	response.Body, err = readBody(resp.Body, resp.ContentLength, r.Budget)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -31,6 +31,7 @@
 	"lacewingramp.example/lacewingramp"
 	"lacewingramp.example/lacewingramp/internal/call/caller"
 	"lacewingramp.example/lacewingramp/internal/call/exchange"
+	"lacewingramp.example/lacewingramp/internal/call/message"
 	"lacewingramp.example/lacewingramp/internal/call/poison"
 	"lacewingramp.example/lacewingramp/internal/change/rollout"
 	"lacewingramp.example/lacewingramp/internal/config/mirror"
@@ -74,6 +75,8 @@
 	// unknown.
 	CPUs      float64
 	Bandwidth float64
+	// Memory is the memory limit of the process in bytes, 0 if unknown.
+	Memory int64
 }
 
 // Store is the part of the platform's store that an instance uses.
@@ -174,6 +177,9 @@
 		Capacity: requestCapacity(s.CPUs, s.Bandwidth),
 	}
 	e.client.HeaderCodec = d.HeaderCodec
+	if s.Memory > 0 {
+		e.client.Budget = message.NewBudget(s.Memory)
+	}
 	e.server = caller.Server{Handle: e.handle, Bounds: e.bounds, OnMalformed: e.logMalformed}
 	e.placer = placement.Placer{Self: s.Name, Regions: s.Regions, HomeRegion: s.Region}
 	if !s.Bootstrap {
--- a/internal/operator/command/cmd_serve.go
+++ b/internal/operator/command/cmd_serve.go
@@ -74,7 +74,7 @@
 	e := edge.New(edge.Settings{
 		Name: s.Instance, Domain: s.Domain, Region: s.Region, Regions: s.Regions,
 		CallerAddress: s.CallerAddress, Peer: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)),
-		Bootstrap: s.Bootstrap, StopTimeout: s.StopTimeout, MaxLookupTTL: s.MaxLookupTTL, CPUs: s.CPUs, Bandwidth: s.Bandwidth, MaxCanaryFraction: s.MaxCanaryFraction,
+		Bootstrap: s.Bootstrap, StopTimeout: s.StopTimeout, MaxLookupTTL: s.MaxLookupTTL, CPUs: s.CPUs, Bandwidth: s.Bandwidth, Memory: s.Memory, MaxCanaryFraction: s.MaxCanaryFraction,
 		RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryWindow: s.RetryWindow,
 	}, edge.Dependencies{
 		Store: storeClient, EventDecoder: platform.EventDecoder{}, DocumentEncoder: platform.DocumentEncoder{}, HeaderCodec: platform.HeaderCodec{},
