Test an instance whose targets send bytes without end

Evidence: on the test "ends or retries a request at once whose target sends bytes without end" failed with "Expected 504 to equal 502": the request waited for its deadline of 5 s. It also checks the retry of an idempotent request and that every such connection is cut off.

--- a/internal/entry/edge/edge_test.go
+++ b/internal/entry/edge/edge_test.go
@@ -116,6 +116,27 @@
 		gomega.Expect(d.runs()).To(gomega.Equal(int32(2)))
 	})
 
+	// Guards against a caller that waits for its deadline while a target sends bytes
+	// that can never become a response.
+	ginkgo.It("ends or retries a request at once whose target sends bytes without end", func() {
+		d.mode(modeEndless)
+		gomega.Expect(d.request(0, "/order/1", "andes-key", "1").status).To(gomega.Equal(http.StatusBadGateway))
+		gomega.Expect(d.runs()).To(gomega.Equal(int32(1)))
+		gomega.Expect(d.request(0, "/read/1", "andes-key", "1").status).To(gomega.Equal(http.StatusBadGateway))
+		gomega.Expect(d.runs()).To(gomega.Equal(int32(3)))
+		d.targets[0].mode.Store(modeWell)
+		d.targets[1].mode.Store(modeWell)
+		for i := range 12 {
+			gomega.Expect(d.request(0, "/read/1", "andes-key", fmt.Sprint(i)).status).To(gomega.Equal(http.StatusOK))
+		}
+		gomega.Eventually(func() (n int32) {
+			for _, t := range d.targets {
+				n += t.runs.Load() - t.cutOff.Load()
+			}
+			return n
+		}).Should(gomega.Equal(int32(12)))
+	})
+
 	ginkgo.It("enforces a customer's rate and returns a retry delay", func() {
 		var last response
 		passed := 0
--- a/internal/entry/edge/fakes_test.go
+++ b/internal/entry/edge/fakes_test.go
@@ -186,6 +186,8 @@
 	mode atomic.Value
 	runs atomic.Int32
 	stop chan struct{}
+	// cutOff counts the connections that the caller closed in modeEndless.
+	cutOff atomic.Int32
 }
 
 // The behaviours of a target.
@@ -195,6 +197,8 @@
 	modeBreak   = "break"
 	modeFail    = "fail"
 	modeSilence = "silence"
+	// modeEndless sends interim responses until the caller closes the connection.
+	modeEndless = "endless"
 )
 
 func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -213,6 +217,9 @@
 			_ = c.Close()
 		}
 		return
+	case modeEndless:
+		t.sendWithoutEnd(w)
+		return
 	case modeFail:
 		w.WriteHeader(http.StatusInternalServerError)
 	case modeSilence:
@@ -224,6 +231,19 @@
 	_, _ = fmt.Fprintf(w, "%s for %q key %q", t.name, r.Header.Get("For"), r.Header.Get("Key"))
 }
 
+// sendWithoutEnd sends interim responses until the caller closes the connection.
+func (t *target) sendWithoutEnd(w http.ResponseWriter) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	for err == nil {
+		_, err = c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	}
+	t.cutOff.Add(1)
+}
+
 // deployment is a store, targets and instances on loopback addresses.
 type deployment struct {
 	store           *store
