--- a/internal/config/mirror/mirror.go
+++ b/internal/config/mirror/mirror.go
@@ -216,10 +216,9 @@
 
 // isNew reports whether a change is newer than the mirror's state of its key, or,
 // for a key that the mirror does not have, newer than the mirror. That holds also for a
-// deletion, as a follower may have the key. A deletion may
-// have the same position as the key: if a key is missing from a snapshot,
-// ApplySnapshot sets the position of its deletion to the snapshot's, which can also be
-// that of the key's last write.
+// deletion, as a follower may have the key. A deletion may have the same position as the
+// key: if a key is missing from a snapshot, ApplySnapshot sets the position of its
+// deletion to the snapshot's, which can also be that of the key's last write.
 func (m *Mirror) isNew(c *lacewingramp.Change) bool {
 	known, ok := m.keyValues[c.Key]
 	switch {
@@ -254,8 +253,8 @@
 }
 
 // Since returns the latest change of each key after a position, and the mirror's
-// position. It returns false if the log does not reach back to that position. Without an epoch, the position
-// is taken to be in the mirror's epoch.
+// position. It returns false if the log does not lead on from that position. Without an
+// epoch, the position is taken to be in the mirror's epoch.
 func (m *Mirror) Since(after lacewingramp.Position) ([]lacewingramp.Change, lacewingramp.Position, bool) {
 	if after.Epoch == 0 {
 		after.Epoch = m.position.Epoch
