Keep to the limits that targets name, over the whole fleet

Ruled out by the targets' arrivals and the code: a limit kept by each instance alone, one forgotten with a change of the table. Class of fault: a rate of a target that holds for all instances together, which only existed for cold targets.

Change: one mechanism for both. One live instance, in the target's region if there is one, owns the rate of a target's incarnation; the others request a token by datagram for each request, with a back-off that spreads them. The owner uses the fraction of the rate that belongs to the instances it knows to be alive, of all that may exist, so that the owners on two sides of a partition together stay within it; before, each side of a partition used a cold target's whole rate. Who has no callers takes no tokens, so that no share is lost. Tokens expire after 0.3 s. A limit ends with a response without one to a request that was sent after the limit was received; a value that is no number says nothing, of several the lowest counts, below 0.2 a second counts as 0.2 and from 10000 on as none.

--- a/call.go
+++ b/call.go
@@ -31,7 +31,9 @@
 // guarantees that it did not start the request, and WrongTarget if the address now
 // belongs to another target. TargetLoad is nil if the target does not report it.
 // WarmupRemaining is for how much longer the target is slow because it started
-// recently.
+// recently. RateLimit is the maximum rate at which the target accepts requests from all
+// instances together, in requests per second, nil if it names none or if
+// InvalidRateLimit is set, which says that the value cannot be used.
 type ResponseHeaders struct {
 	ID              string
 	Target          string
@@ -39,6 +41,9 @@
 	WrongTarget     bool
 	TargetLoad      *TargetLoad
 	WarmupRemaining time.Duration
+
+	RateLimit        *float64
+	InvalidRateLimit bool
 }
 
 // TargetLoad is the load that a target reports: the number of requests that it runs
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -109,6 +109,8 @@
 	Attempt(verdict lacewingramp.Verdict, took time.Duration)
 	// ConnectionOpened counts a new connection to a target.
 	ConnectionOpened()
+	// TargetToken counts a request for a token of a target's limited rate.
+	TargetToken(outcome lacewingramp.TokenOutcome)
 	// TokenReply counts a token request to the keeper of a customer's pool. granted
 	// reports whether the reply granted the token, and is false if there was no reply in
 	// time.
--- a/internal/entry/edge/edge_admit.go
+++ b/internal/entry/edge/edge_admit.go
@@ -31,6 +31,7 @@
 // not be reached or were no longer allowed once connected, and attempts counts the
 // others. rank is the position of the last chosen target in the ranking of the targets
 // for the request's object. allFull is set if no target was chosen because all were full.
+// tokenRequests counts the tokens of targets that the request has waited for.
 type job struct {
 	request       *message.Request
 	headers       lacewingramp.CallerHeaders
@@ -46,6 +47,7 @@
 	rank           int
 	attempts       int
 	failedConnects int
+	tokenRequests  int
 	// mayHaveRun is set once a target may have started to run the request.
 	mayHaveRun bool
 	// fallback is the error response of a target, relayed if no other target sends a
--- a/internal/entry/edge/edge_heartbeat.go
+++ b/internal/entry/edge/edge_heartbeat.go
@@ -55,14 +55,14 @@
 
 // updateInstances passes the live instances to the target placement and the quota.
 func (e *Edge) updateInstances(now time.Time) {
-	names := []string{e.Name}
+	live := []lacewingramp.Endpoint{e.self}
 	for _, p := range e.peers.Alive(now) {
 		if !p.Leaving {
-			names = append(names, p.Name)
+			live = append(live, p)
 		}
 	}
 	maxInstances := e.peers.FleetSize(now)
-	e.placer.SetInstances(names, maxInstances)
+	e.placer.SetInstances(live, maxInstances)
 	e.quota.SetInstanceCount(maxInstances)
 }
 
@@ -99,6 +99,8 @@
 		e.handleTokenRequest(d.TokenRequest, from)
 	case d.TokenReply != nil:
 		e.handleTokenReply(d.TokenReply)
+	case d.TargetTokenRequest != nil:
+		e.handleTargetTokenRequest(d.TargetTokenRequest, from)
 	}
 }
 
--- a/internal/entry/edge/edge_pool.go
+++ b/internal/entry/edge/edge_pool.go
@@ -66,16 +66,12 @@
 		e.mu.Unlock()
 		return errPoolBackoff
 	}
-	e.lastTokenRequestID++
-	request := &lacewingramp.TokenRequest{ID: e.lastTokenRequestID, Customer: customer}
-	reply := make(chan *lacewingramp.TokenReply, 1)
-	e.tokenReplies[request.ID] = reply
 	e.mu.Unlock()
-	e.sendDatagram(&lacewingramp.Datagram{TokenRequest: request}, address)
-	r, replied := await(ctx, reply, tokenTimeout)
+	r, replied := e.exchangeToken(ctx, address, func(id uint64) *lacewingramp.Datagram {
+		return &lacewingramp.Datagram{TokenRequest: &lacewingramp.TokenRequest{ID: id, Customer: customer}}
+	})
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	delete(e.tokenReplies, request.ID)
 	e.Meter.TokenReply(replied && r.Granted)
 	switch {
 	case !replied && ctx.Err() != nil:
@@ -90,6 +86,22 @@
 	return nil
 }
 
+// exchangeToken sends a request for a token to another instance and waits for the reply.
+func (e *Edge) exchangeToken(ctx context.Context, address string, request func(id uint64) *lacewingramp.Datagram) (r *lacewingramp.TokenReply, replied bool) {
+	reply := make(chan *lacewingramp.TokenReply, 1)
+	e.mu.Lock()
+	e.lastTokenRequestID++
+	id := e.lastTokenRequestID
+	e.tokenReplies[id] = reply
+	e.mu.Unlock()
+	e.sendDatagram(request(id), address)
+	r, replied = await(ctx, reply, tokenTimeout)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.tokenReplies, id)
+	return r, replied
+}
+
 // handleTokenRequest replies to a token request from a peer.
 func (e *Edge) handleTokenRequest(request *lacewingramp.TokenRequest, from string) {
 	e.mu.Lock()
--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -29,6 +29,7 @@
 // attempt is one attempt to run a request on a target, with its result.
 type attempt struct {
 	choice placement.Choice
+	sentAt time.Time
 	result exchange.Result
 	took   time.Duration
 	// crashed is set if the connection broke and the target accepts no new one.
@@ -53,6 +54,10 @@
 			e.awaitProbe(ctx, choice.Target)
 			continue
 		}
+		if choice.NeedsToken {
+			e.awaitTargetToken(ctx, j, choice.Target)
+			continue
+		}
 		a := e.send(ctx, j, choice)
 		anyCrashed = anyCrashed || a.crashed
 		e.recordAttempt(ctx, j, a)
@@ -72,7 +77,7 @@
 	if j.deadline.Sub(now) < minTimeLeft || j.attempts >= j.route.AttemptLimit || j.failedConnects >= maxFailedConnects {
 		return placement.Choice{}, false
 	}
-	q := placement.Query{Service: j.service, RouteRegions: j.route.Regions, CustomerRegions: j.customerRegions(), Tried: j.tried}
+	q := placement.Query{Service: j.service, RouteRegions: j.route.Regions, CustomerRegions: j.customerRegions(), Tried: j.tried, NoTokenRequests: j.tokenRequests >= maxTargetTokenRequests}
 	if j.route.Affinity {
 		q.Object = j.headers.Object
 	}
@@ -87,7 +92,7 @@
 		j.allFull = choice.Full
 		return choice, false
 	}
-	if choice.NeedsProbe {
+	if choice.NeedsProbe || choice.NeedsToken {
 		return choice, true
 	}
 	if j.attempts > 0 && !e.retryBudget.Take(now, j.service, e.peers.FleetSize(now)) {
@@ -120,7 +125,7 @@
 		e.Meter.ConnectionOpened()
 	}
 	crashed := r.ConnectionBroken && e.crashed(c.Target.Address)
-	return attempt{choice: c, result: r, took: took, crashed: crashed}
+	return attempt{choice: c, sentAt: sentAt, result: r, took: took, crashed: crashed}
 }
 
 // mayServe reports whether a chosen target is still registered, is not leaving, and is
@@ -151,10 +156,13 @@
 	cancelled := r.Response == nil && ctx.Err() != nil
 	ran := r.Verdict != lacewingramp.NotRun && !cancelled
 	failed := ran && (r.Response == nil || r.Response.Status >= http.StatusInternalServerError)
+	limit := e.placer.Limit(target.Name)
 	e.placer.Done(now, placement.Report{
-		Target: target.Name, Unreachable: r.Unreachable || a.crashed, Failed: failed,
+		Target: target.Name, SentAt: a.sentAt, Ran: r.Verdict == lacewingramp.Ran, Unreachable: r.Unreachable || a.crashed, Failed: failed,
 		Shed: r.ResponseHeaders.NotRun, AddressTaken: r.ResponseHeaders.WrongTarget, TargetLoad: r.ResponseHeaders.TargetLoad, WarmupRemaining: r.ResponseHeaders.WarmupRemaining,
+		RateLimit: r.ResponseHeaders.RateLimit, InvalidRateLimit: r.ResponseHeaders.InvalidRateLimit,
 	})
+	e.logLimit(j.headers.ID, target.Name, limit)
 	if ran {
 		e.rollouts.Observe(j.route.Name, j.service, target.Version, failed, a.rolloutLatency())
 	}
--- a/internal/report/meter/meter.go
+++ b/internal/report/meter/meter.go
@@ -60,6 +60,11 @@
 	m.set.GetOrCreateCounter(`lacewingramp_pool_draws_total{ok="` + strconv.FormatBool(granted) + `"}`).Inc()
 }
 
+// TargetToken counts a request for a token of a target's limited rate.
+func (m *Meter) TargetToken(outcome lacewingramp.TokenOutcome) {
+	m.set.GetOrCreateCounter(`lacewingramp_target_tokens_total{outcome="` + outcome.String() + `"}`).Inc()
+}
+
 // LogLinesDropped counts log lines that were lost because the log buffer was full.
 func (m *Meter) LogLinesDropped(n int) {
 	m.droppedLines.Add(n)
--- a/internal/report/meter/meter_test.go
+++ b/internal/report/meter/meter_test.go
@@ -20,6 +20,7 @@
 		m.Attempt(lacewingramp.Ran, time.Second)
 		m.StoreCall("/watch", time.Second, nil)
 		m.TokenReply(true)
+		m.TargetToken(lacewingramp.TokenGranted)
 		w := httptest.NewRecorder()
 		m.ServeHTTP(w, nil)
 		page, err := os.ReadFile("../../../docs/METRICS.md")
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -7,11 +7,12 @@
 // request goes to the highest-ranked target with free capacity, judged by this
 // instance's requests in flight there and by the load that the target last reported.
 //
-// A target that has just started is cold and takes few requests a second. Until it
-// is warm, one instance owns that rate and only this one sends requests there. An
-// instance that has just started does not know the owner yet and uses an equal share
-// of the rate. A target that could not be reached is suspended for a while and
-// treated as cold afterwards.
+// A target that has just started is cold and takes few requests a second, and a target
+// may name a limit in its responses. Either rate is for all instances together: one of
+// them owns it, and the others request a token from it for each request. An instance that
+// has just started does not know the owner of a cold target's rate yet and uses an equal
+// share of it. A target that could not be reached is suspended for a while and treated
+// as cold afterwards.
 //
 // # Usage
 //
@@ -24,6 +25,8 @@
 //		// Refuse. choice.Full tells whether there are usable targets, all full.
 //	case choice.NeedsProbe:
 //		// Probe the target to learn whether it is cold, then choose again.
+//	case choice.NeedsToken:
+//		// Request a token from the owner of the target's rate, then choose again.
 //	}
 //	...
 //	p.Done(now, placement.Report{Target: choice.Target.Name, TargetLoad: load})
@@ -43,7 +46,8 @@
 
 // Query describes a request that needs a target. An empty Version allows every
 // version. Object is empty if no target is preferred. Tried names the targets
-// that the request was already sent to.
+// that the request was already sent to. NoTokenRequests is set if the request may not
+// wait for tokens any more.
 type Query struct {
 	Service string
 	Version string
@@ -53,6 +57,7 @@
 	RouteRegions    lacewingramp.NameList
 	CustomerRegions lacewingramp.NameList
 	Tried           []string
+	NoTokenRequests bool
 }
 
 // Choice is the result of Placer.Choose. If Target is nil, Full tells whether there
@@ -60,20 +65,27 @@
 // target's index, from 0, in the order in which Choose tried the targets. WarmingUp
 // says that the target is cold. NeedsProbe says that the request has not been counted
 // as in flight yet: the caller must probe the target, to learn whether it is cold,
-// and then call Choose again.
+// and then call Choose again. NeedsToken says the same of a token: the caller must
+// request it from the owner of the target's rate, call RecordToken with the reply, and
+// then call Choose again.
 type Choice struct {
 	Target          *lacewingramp.Target
 	Full            bool
 	RankingPosition int
 	WarmingUp       bool
 	NeedsProbe      bool
+	NeedsToken      bool
 }
 
 // Report describes the outcome of a request on a target. TargetLoad is the load that
 // the target reported, nil if none, and WarmupRemaining is how long it says that it
-// stays cold.
+// stays cold. RateLimit and InvalidRateLimit are those of the ResponseHeaders.
 type Report struct {
 	Target string
+	// SentAt is when the request was sent, and Ran says that the target ran it and
+	// responded.
+	SentAt time.Time
+	Ran    bool
 	// Unreachable says that the target could not be connected to, Failed that
 	// it sent no response or a server error.
 	Unreachable bool
@@ -84,6 +96,9 @@
 	AddressTaken    bool
 	TargetLoad      *lacewingramp.TargetLoad
 	WarmupRemaining time.Duration
+
+	RateLimit        *float64
+	InvalidRateLimit bool
 }
 
 // Placer tracks the targets of all services. The zero value has no targets.
@@ -104,7 +119,7 @@
 	// moves maps each object that was moved away from its highest-ranked target to
 	// the name of the target that it was moved to, the second-ranked one at the time.
 	moves        map[objectKey]string
-	instances    []string
+	instances    []lacewingramp.Endpoint
 	maxInstances int
 }
 
@@ -116,10 +131,11 @@
 	}
 }
 
-// SetInstances sets the names of all live instances, in any order, and the maximum
-// number that may exist, as not all are known shortly after this instance's start.
-func (p *Placer) SetInstances(names []string, maxInstances int) {
-	p.instances, p.maxInstances = names, maxInstances
+// SetInstances sets all live instances, in any order, and the maximum number that may
+// exist: those that this instance has lost may still run, and not all are known shortly
+// after its start.
+func (p *Placer) SetInstances(live []lacewingramp.Endpoint, maxInstances int) {
+	p.instances, p.maxInstances = live, maxInstances
 }
 
 // Update records a target's registration. If the target has been restarted, has
@@ -223,7 +239,7 @@
 
 // Choose picks a target with free capacity and counts the request as in flight
 // there until Done or Cancel is called. It does not count a request whose Choice has
-// NeedsProbe set.
+// NeedsProbe or NeedsToken set.
 func (p *Placer) Choose(now time.Time, q Query) Choice {
 	all := p.order(now, &q)
 	if len(all) == 0 {
@@ -231,13 +247,13 @@
 	}
 	all = p.candidates(now, all)
 	p.applyMoves(now, &q, all)
-	if c, ok := p.firstFitting(now, all, func(i int, t *target) bool {
+	if c, ok := p.firstFitting(now, &q, all, func(i int, t *target) bool {
 		return t.inflight < t.inflightLimit() && t.utilization(now) < maxUtilizationByRank[min(i, len(maxUtilizationByRank)-1)] && !t.failing(now)
 	}); ok {
 		return c
 	}
 	sort.SliceStable(all, func(i, j int) bool { return all[i].utilization(now) < all[j].utilization(now) })
-	if c, ok := p.firstFitting(now, all, func(_ int, t *target) bool {
+	if c, ok := p.firstFitting(now, &q, all, func(_ int, t *target) bool {
 		return t.inflight < t.inflightLimit() && t.utilization(now) < maxFallbackUtilization
 	}); ok {
 		return c
@@ -245,25 +261,31 @@
 	return Choice{Full: true}
 }
 
-// firstFitting picks the first target for which fits returns true and that, if
-// cold, has a token left. A target that may be cold without this instance knowing is
-// picked to be probed, unless a probe has failed.
-func (p *Placer) firstFitting(now time.Time, all []ranked, fits func(int, *target) bool) (Choice, bool) {
+// firstFitting picks the first target for which fits returns true and which has a token
+// for the request if its rate is limited. A target that may be cold without this
+// instance knowing is picked to be probed, unless a probe has failed, and one whose token
+// has to be requested is picked for that.
+func (p *Placer) firstFitting(now time.Time, q *Query, all []ranked, fits func(int, *target) bool) (Choice, bool) {
 	for i, t := range all {
 		if !fits(i, t.target) {
 			continue
 		}
+		chosen := t.Target
+		choice := Choice{Target: &chosen, RankingPosition: i}
 		if p.mayBeCold(now, t.target) && !t.probeFailed {
-			chosen := t.Target
-			return Choice{Target: &chosen, RankingPosition: i, NeedsProbe: true}, true
+			choice.NeedsProbe = true
+			return choice, true
 		}
-		cold := now.Before(t.coldUntil)
-		if !p.takeToken(now, t.target, cold) {
-			continue
+		choice.WarmingUp = now.Before(t.coldUntil)
+		switch p.admit(now, t.target, choice.WarmingUp, !q.NoTokenRequests) {
+		case admitted:
+			t.inflight++
+			return choice, true
+		case tokenNeeded:
+			choice.NeedsToken = true
+			return choice, true
+		case rejected:
 		}
-		t.inflight++
-		chosen := t.Target
-		return Choice{Target: &chosen, RankingPosition: i, WarmingUp: cold}, true
 	}
 	return Choice{}, false
 }
@@ -288,6 +310,7 @@
 		t.recordUtilization(now, float64(r.TargetLoad.Running+r.TargetLoad.Waiting)/float64(max(1, t.Slots)))
 	}
 	t.setCold(now, r.WarmupRemaining)
+	t.recordLimit(now, r)
 	if r.Shed {
 		t.load.Running, t.load.Waiting = t.Slots, t.Slots
 		t.loadAt, t.inflightAtLoad = now, t.inflight
--- a/internal/steer/placement/placement_order.go
+++ b/internal/steer/placement/placement_order.go
@@ -91,14 +91,14 @@
 	return h ^ h>>31
 }
 
-// candidates returns the targets that may serve an object: the first warm ones, and
-// those ranked above them that are cold or have failed a probe. Targets further
+// candidates returns the targets that may serve an object: the first warm ones without a
+// limit, and those ranked above them that are cold, name a limit or have failed a probe. Targets further
 // down have not handled the object lately, and would evict another object from
 // their cache for it.
 func (p *Placer) candidates(now time.Time, all []ranked) []ranked {
 	warm := 0
 	for i, t := range all {
-		if now.Before(t.coldUntil) || (t.probeFailed && p.mayBeCold(now, t.target)) {
+		if now.Before(t.coldUntil) || t.limit > 0 || (t.probeFailed && p.mayBeCold(now, t.target)) {
 			continue
 		}
 		if warm++; warm == targetsPerObject {
--- a/internal/steer/placement/placement_target.go
+++ b/internal/steer/placement/placement_target.go
@@ -32,8 +32,7 @@
 
 // target is this instance's view of one target. inflight is the number of this
 // instance's requests at the target, and inflightAtLoad the number of those that
-// load includes. coldTokens is how many requests may be sent while the target is
-// cold. addressTaken says that another target responds at the address.
+// load includes. addressTaken says that another target responds at the address.
 type target struct {
 	lacewingramp.TargetRegistration
 	region   string
@@ -61,9 +60,8 @@
 	confirmed bool
 	// probeFailed says that the target gave no usable response to a probe.
 	probeFailed  bool
-	coldTokens   float64
-	coldTokensAt time.Time
 	addressTaken bool
+	rateState
 }
 
 // inflightLimit returns the maximum number of concurrent requests from this
--- a/internal/steer/placement/placement_test.go
+++ b/internal/steer/placement/placement_test.go
@@ -34,11 +34,20 @@
 	}
 }
 
+// endpoints returns instances in both regions.
+func endpoints(names ...string) []lacewingramp.Endpoint {
+	var all []lacewingramp.Endpoint
+	for i, n := range names {
+		all = append(all, lacewingramp.Endpoint{Name: n, Domain: []string{"a", "b"}[i%2]})
+	}
+	return all
+}
+
 // newPlacer returns a Placer with targets in both regions.
 func newPlacer(self string, targets, slots int) *placement.Placer {
 	p := &placement.Placer{Self: self, Regions: regions, HomeRegion: "north"}
 	p.Configure([]lacewingramp.Service{service()})
-	p.SetInstances([]string{self}, 1)
+	p.SetInstances(endpoints(self), 1)
 	for i := range targets {
 		p.Update(start, registration(i, []string{"a", "b"}[i%2], slots))
 	}
@@ -183,7 +192,7 @@
 	for i := range 1000 {
 		at := now.Add(time.Duration(i) * time.Millisecond)
 		for _, p := range all {
-			if c := p.Choose(at, query(fmt.Sprint(i%40))); c.Target != nil && !c.NeedsProbe {
+			if c := p.Choose(at, query(fmt.Sprint(i%40))); c.Target != nil && !c.NeedsProbe && !c.NeedsToken {
 				sent[c.Target.Name]++
 				p.Cancel(c.Target.Name)
 			}
@@ -209,7 +218,7 @@
 		var all []*placement.Placer
 		for _, n := range names {
 			p := newPlacer(n, 4, 30)
-			p.SetInstances(names, instances)
+			p.SetInstances(endpoints(names...), instances)
 			all = append(all, p)
 		}
 		return all
@@ -243,7 +252,7 @@
 		all := fleet()
 		for _, p := range all {
 			p.StartedAt = start
-			p.SetInstances([]string{p.Self}, instances)
+			p.SetInstances(endpoints(p.Self), instances)
 			for i := range 4 {
 				p.RecordProbeFailure(fmt.Sprintf("t%d", i))
 			}
@@ -255,7 +264,7 @@
 	ginkgo.It("is not limited for a target whose probe shows that it is warm", func() {
 		p := newPlacer("edge-0", 1, 30)
 		p.StartedAt = start
-		p.SetInstances([]string{"edge-0"}, instances)
+		p.SetInstances(endpoints("edge-0"), instances)
 		c := p.Choose(start, query("1"))
 		gomega.Expect(c.NeedsProbe).To(gomega.BeTrue())
 		gomega.Expect(c.Target.Name).To(gomega.Equal("t0"))
@@ -267,7 +276,7 @@
 	ginkgo.It("does not keep other targets from serving the objects of one that does not respond to its probe", func() {
 		p := newPlacer("edge-0", 12, 30)
 		p.StartedAt = start
-		p.SetInstances([]string{"edge-0"}, instances)
+		p.SetInstances(endpoints("edge-0"), instances)
 		served := 0
 		for i := range 200 {
 			for {
