Relay the requests of an instance that reaches no target

Cause: an instance had no other way to a target than its own connections (hypothesis 1), lookups went on naming it (2), and targets stayed suspended and were taken for cold after the cut (3). Class of fault: the failure of an instance's own network taken for failures of its targets. Lookups alone would not have been enough: callers keep a response for up to 6 s.

Change: a monitor (steer/reach) takes a failed attempt for a suspicion, which a response to a later attempt refutes, a response on an old connection only for old connections. An instance under suspicion checks up to six targets of different domains on new connections; if none responds it is cut off, until one does. It relays requests to instances that reach targets, and so does one that could reach none of three targets. What is relayed runs at most once, stays in regions that route and customer allow, carries its deadline, attempts and table revision, counts for quota and retry budget once, and is never relayed again. Heartbeats say that an instance is cut off; lookups name others. After the cut its suspensions are forgotten. Refusals after failed connects no longer say that all targets are full.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -30,7 +30,7 @@
 	$(GO) test ./...
 
 red:
-	LACEWINGRAMP_RED=1 $(GO) test ./internal/limit/quota ./e2e ./internal/operator/trial ./platform/soak -ginkgo.focus "refuses nothing|runs or rate-limits|region.s cap|reach no target"
+	LACEWINGRAMP_RED=1 $(GO) test ./internal/limit/quota ./e2e ./internal/operator/trial -ginkgo.focus "refuses nothing|runs or rate-limits|region.s cap"
 
 lint:
 	$(LINT) run ./...
--- a/digest.go
+++ b/digest.go
@@ -19,6 +19,8 @@
 	// Capacity is the estimated capacity of the instance in requests per second, 0 if
 	// unknown.
 	Capacity int `json:"room,omitempty" cbor:"7,keyasint,omitempty"`
+	// Relay is the address for requests that other instances relay, "" if there is none.
+	Relay string `json:"relay,omitempty" cbor:"8,keyasint,omitempty"`
 }
 
 // Check returns an error for an endpoint without a name, domain or peer address.
--- a/heartbeat.go
+++ b/heartbeat.go
@@ -27,6 +27,8 @@
 	// requests per second.
 	RequestRate float32 `cbor:"11,keyasint,omitempty"`
 	Epoch       int64   `cbor:"12,keyasint,omitempty"`
+	// CutOff is set if the instance reaches no target.
+	CutOff bool `cbor:"13,keyasint,omitempty"`
 }
 
 // Position returns the position in the store's history up to which the instance has read.
--- a/internal/call/exchange/exchange.go
+++ b/internal/call/exchange/exchange.go
@@ -66,7 +66,9 @@
 // called after a connection had to be opened, which can take a second. If it
 // reports false, the target may no longer get the request and nothing is sent.
 type TargetRequest struct {
-	Address       string
+	Address string
+	// NewConnection asks for a new connection, even if there is an idle one.
+	NewConnection bool
 	Request       *message.Request
 	Header        http.Header
 	ID            string
@@ -96,6 +98,8 @@
 	HeaderCodec lacewingramp.HeaderCodec
 	// Budget bounds the memory of the responses that are being read.
 	Budget *message.Budget
+	// Dialer opens the connections. If it is nil, those of the system are used.
+	Dialer lacewingramp.Dialer
 
 	idle idlePool
 }
@@ -133,11 +137,12 @@
 }
 
 func (c *Client) connection(ctx context.Context, req TargetRequest) (*connection, bool, error) {
-	if conn := c.idle.get(req.Address, req.NonIdempotent); conn != nil {
-		return conn, false, nil
+	if !req.NewConnection {
+		if conn := c.idle.get(req.Address, req.NonIdempotent); conn != nil {
+			return conn, false, nil
+		}
 	}
-	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
-	raw, err := d.DialContext(ctx, "tcp4", req.Address)
+	raw, err := c.Dial(ctx, req.Address)
 	if err != nil {
 		return nil, true, err
 	}
@@ -146,6 +151,17 @@
 	return &connection{Conn: raw, reader: reader}, true, nil
 }
 
+// Dial opens a connection to an address.
+func (c *Client) Dial(ctx context.Context, address string) (net.Conn, error) {
+	var d lacewingramp.Dialer = &net.Dialer{KeepAliveConfig: keepAlive}
+	if c.Dialer != nil {
+		d = c.Dialer
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return d.DialContext(ctx, "tcp4", address)
+}
+
 // exchange sends the request and reads the response with the request's ID. Responses to
 // earlier requests are skipped, within limits.
 func (c *Client) exchange(conn *connection, req TargetRequest) Result {
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -43,6 +43,7 @@
 	"lacewingramp.example/lacewingramp/internal/peer/heartbeat"
 	"lacewingramp.example/lacewingramp/internal/report/loglimit"
 	"lacewingramp.example/lacewingramp/internal/steer/placement"
+	"lacewingramp.example/lacewingramp/internal/steer/reach"
 )
 
 // Settings configures an instance. Regions maps failure domains to their regions.
@@ -58,6 +59,8 @@
 	// listen on for peers, over TCP and UDP.
 	CallerAddress string
 	Peer          string
+	// Relay is the address to listen on for requests that peers relay, "" for none.
+	Relay string
 	// Bootstrap marks the first start of the whole deployment. The instance then does
 	// not probe whether targets are cold, because none can have become cold before this
 	// instance started.
@@ -98,6 +101,8 @@
 	Timer           lacewingramp.Timer
 	Log             zerolog.Logger
 	Meter           Meter
+	// Dialer opens the connections to targets. If it is nil, those of the system are used.
+	Dialer lacewingramp.Dialer
 }
 
 // Meter records the metrics of an instance.
@@ -109,6 +114,8 @@
 	Attempt(verdict lacewingramp.Verdict, took time.Duration)
 	// ConnectionOpened counts a new connection to a target.
 	ConnectionOpened()
+	// Relayed counts a request that was relayed to a peer.
+	Relayed(outcome lacewingramp.RelayOutcome)
 	// TargetToken counts a request for a token of a target's limited rate.
 	TargetToken(outcome lacewingramp.TokenOutcome)
 	// TokenReply counts a token request to the keeper of a customer's pool. granted
@@ -138,6 +145,10 @@
 	arrivals atomic.Int64
 	client   exchange.Client
 	server   caller.Server
+	// relayClient relays requests to peers, and relayServer serves those from peers.
+	relayClient exchange.Client
+	relayServer caller.Server
+
 	socket   *heartbeat.Socket
 	restored chan struct{}
 
@@ -164,6 +175,10 @@
 	expired     map[string]time.Time
 	reverted    map[string]time.Time
 	probes      map[string]*probe
+	reach       reach.Monitor
+	// reachCheck is closed when the check of the targets that is in progress ends. It is
+	// nil if there is none.
+	reachCheck chan struct{}
 	// requestRate is the moving average of the requests received per second.
 	requestRate float64
 	lookupCache lookupCache
@@ -176,12 +191,15 @@
 	e := &Edge{Settings: s, Dependencies: d, tableLoaded: make(chan struct{}), startedAt: now}
 	e.self = lacewingramp.Endpoint{
 		Name: s.Name, Domain: s.Domain, Peer: s.Peer, Caller: s.CallerAddress, StartMillis: now.UnixMilli(),
-		Capacity: requestCapacity(s.CPUs, s.Bandwidth),
+		Capacity: requestCapacity(s.CPUs, s.Bandwidth), Relay: s.Relay,
 	}
-	e.client.HeaderCodec = d.HeaderCodec
+	e.client.HeaderCodec, e.client.Dialer = d.HeaderCodec, d.Dialer
+	e.relayClient.HeaderCodec = d.HeaderCodec
 	if s.Memory > 0 {
 		e.client.Budget = message.NewBudget(s.Memory)
+		e.relayClient.Budget = e.client.Budget
 	}
+	e.relayServer = caller.Server{Handle: e.handleRelayed, Bounds: e.relayBounds, OnMalformed: e.logMalformed}
 	e.server = caller.Server{Handle: e.handle, Bounds: e.bounds, OnMalformed: e.logMalformed}
 	e.placer = placement.Placer{Self: s.Name, Regions: s.Regions, HomeRegion: s.Region}
 	if !s.Bootstrap {
@@ -220,6 +238,10 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
+	relayListener, err := e.listenForRelays()
+	if err != nil {
+		return err
+	}
 	e.socket, err = heartbeat.Listen(e.Peer)
 	if err != nil {
 		return err
@@ -231,17 +253,36 @@
 	wg.Go(func() { e.socket.Receive(e.handleDatagram, e.logBadDatagram) })
 	wg.Go(func() { e.logServeError(follower.Serve(peerListener, mirrorSource{e}), "serving peers") })
 	wg.Go(func() { e.logServeError(e.server.Serve(callerListener), "serving callers") })
+	if relayListener != nil {
+		wg.Go(func() { e.logServeError(e.relayServer.Serve(relayListener), "serving relayed requests") })
+	}
 	stopTicks := e.Timer.Every(heartbeat.Period, func(now time.Time) { e.tick(background, now) })
 	<-ctx.Done()
 	e.stop(callerListener)
 	stopTicks()
 	cancel()
 	_ = peerListener.Close()
+	if relayListener != nil {
+		_ = relayListener.Close()
+	}
 	_ = e.socket.Close()
 	wg.Wait()
 	return nil
 }
 
+// listenForRelays opens the listener for requests that peers relay. It is nil if there is
+// no address for it.
+func (e *Edge) listenForRelays() (net.Listener, error) {
+	if e.Relay == "" {
+		return nil, nil
+	}
+	l, err := net.Listen("tcp4", e.Relay)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for relayed requests")
+	}
+	return l, nil
+}
+
 // logServeError logs the error, if any, with which a server ended.
 func (e *Edge) logServeError(err error, part string) {
 	if err != nil {
--- a/internal/entry/edge/edge_admit.go
+++ b/internal/entry/edge/edge_admit.go
@@ -48,6 +48,10 @@
 	attempts       int
 	failedConnects int
 	tokenRequests  int
+	// relayed is set if another instance has relayed the request to this one, and
+	// triedRelays once this one has tried to relay it.
+	relayed     bool
+	triedRelays bool
 	// mayHaveRun is set once a target may have started to run the request.
 	mayHaveRun bool
 	// fallback is the error response of a target, relayed if no other target sends a
@@ -85,6 +89,18 @@
 
 // admit checks whether a request may run and returns the refusal if not.
 func (e *Edge) admit(ctx context.Context, j *job) *message.Response {
+	if resp := e.resolve(j); resp != nil {
+		return resp
+	}
+	if wait, err := e.takeQuota(ctx, j.customerName()); err != nil {
+		return e.refuse(j, http.StatusTooManyRequests, lacewingramp.CauseRate, wait, "over the customer's rate: "+err.Error())
+	}
+	return e.guard(j)
+}
+
+// resolve finds the route, the customer and the deadline of a request, and returns the
+// refusal if it has none.
+func (e *Edge) resolve(j *job) *message.Response {
 	headers, err := e.HeaderCodec.CallerHeaders(j.request.Header)
 	j.headers = headers
 	if err != nil {
@@ -110,7 +126,7 @@
 		timeout = min(timeout, headers.Timeout)
 	}
 	j.deadline = j.receivedAt.Add(timeout)
-	return e.enforceLimits(ctx, j)
+	return nil
 }
 
 // awaitTable holds a request until the first table is in force, for at most
@@ -126,23 +142,36 @@
 	await(ctx, e.tableLoaded, left)
 }
 
-// enforceLimits takes quota for a request, refuses requests that crash their targets,
-// and chooses the service of the request.
-func (e *Edge) enforceLimits(ctx context.Context, j *job) *message.Response {
+// guard refuses requests that crash their targets, and chooses the service of the request.
+// The instance that relayed a request has counted it for the retry budget.
+func (e *Edge) guard(j *job) *message.Response {
 	j.fingerprint = poison.Fingerprint(&lacewingramp.ForwardRequest{
 		Customer: j.customerName(), Route: j.route.Name, Method: j.request.Method, URI: j.request.URI, Body: j.request.Body,
 	})
-	if wait, err := e.takeQuota(ctx, j.customerName()); err != nil {
-		return e.refuse(j, http.StatusTooManyRequests, lacewingramp.CauseRate, wait, "over the customer's rate: "+err.Error())
-	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.Timer.Now()
 	if !e.poisonGuard.Admit(now, j.fingerprint) {
-		e.quota.Refund(j.customerName())
+		e.refundQuotaLocked(j)
 		return e.refuse(j, http.StatusServiceUnavailable, lacewingramp.CausePoison, poisonRetryAfter, "such requests have crashed their targets")
 	}
 	j.service = e.service(j.route)
-	e.retryBudget.CountRequest(now, j.service)
+	if !j.relayed {
+		e.retryBudget.CountRequest(now, j.service)
+	}
 	return nil
 }
+
+// refundQuota returns the quota of a request that has not run. The quota of a relayed
+// request was taken by the instance that relayed it.
+func (e *Edge) refundQuota(j *job) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.refundQuotaLocked(j)
+}
+
+func (e *Edge) refundQuotaLocked(j *job) {
+	if !j.relayed {
+		e.quota.Refund(j.customerName())
+	}
+}
--- a/internal/entry/edge/edge_heartbeat.go
+++ b/internal/entry/edge/edge_heartbeat.go
@@ -35,6 +35,9 @@
 	e.updateRequestRate()
 	e.quota.Tick(now)
 	e.updateFollowAddress(now)
+	if e.reach.CheckDue(now) {
+		e.checkReach()
+	}
 	e.removeExpired(now)
 	e.settleReverted(now)
 	e.tickRollouts(ctx, now)
@@ -46,6 +49,7 @@
 	interRegion.Demand, interRegion.Sum = e.quota.Encode(region), instances
 	e.mu.Unlock()
 	e.client.Sweep(now)
+	e.relayClient.Sweep(now)
 	e.logOmitted()
 	if err := errors.Join(e.socket.Send(&lacewingramp.Datagram{Heartbeat: regional}, ownRegion), e.socket.Send(&lacewingramp.Datagram{Heartbeat: &interRegion}, otherRegions)); err != nil {
 		e.Log.Error().Err(err).Msg("could not send a heartbeat")
@@ -71,7 +75,7 @@
 	self.Leaving = e.stopping.Load()
 	return &lacewingramp.Heartbeat{
 		Endpoint: self, Ready: e.Ready(), Revision: e.mirror.Position().Revision, Epoch: e.mirror.Position().Epoch,
-		ReachesStore: !e.store.lost, WatchesStore: e.watches(now), RequestRate: float32(e.requestRate),
+		ReachesStore: !e.store.lost, WatchesStore: e.watches(now), CutOff: e.reach.CutOff(), RequestRate: float32(e.requestRate),
 		CrashCounts: e.poisonGuard.HeartbeatCounts(now), RolloutStats: e.rollouts.RolloutStats(), Outcomes: e.rollouts.Outcomes(),
 	}
 }
--- a/internal/entry/edge/edge_lookup.go
+++ b/internal/entry/edge/edge_lookup.go
@@ -53,15 +53,23 @@
 // Lookup returns the addresses of the instances that a caller should connect to and
 // how long the caller may cache them. It chooses instances of the caller's region. If
 // there are none it chooses from the regions to which the host's routes are restricted,
-// and if there are none there either, from all regions.
+// and if there are none there either, from all regions. It prefers instances that reach
+// targets, but not those of other regions to which the host's routes are not allowed.
 func (e *Edge) Lookup(host, region string) (addresses []string, ttl time.Duration) {
 	allowedRegions := e.allowedRegions(host)
 	ttl = time.Duration(float64(e.MaxLookupTTL) * lookupTTLFraction)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.Timer.Now()
-	for _, regions := range []lacewingramp.NameList{{region}, allowedRegions, nil} {
-		if found := e.cachedAddresses(now, regions); len(found) > 0 {
+	for _, cutOff := range []bool{false, true} {
+		for _, regions := range []lacewingramp.NameList{{region}, allowedRegions} {
+			if found := e.cachedAddresses(now, regions, cutOff); len(found) > 0 {
+				return lookup.Sample(found), ttl
+			}
+		}
+	}
+	for _, cutOff := range []bool{false, true} {
+		if found := e.cachedAddresses(now, nil, cutOff); len(found) > 0 {
 			return lookup.Sample(found), ttl
 		}
 	}
@@ -75,29 +83,30 @@
 	return nil
 }
 
-// cachedAddresses returns the addresses that a lookup may return for the given regions.
-// The caller must hold e.mu.
-func (e *Edge) cachedAddresses(now time.Time, regions lacewingramp.NameList) []string {
+// cachedAddresses returns the addresses that a lookup may return for the given regions: of
+// the instances that reach targets, or of those that are cut off from all of them. The
+// caller must hold e.mu.
+func (e *Edge) cachedAddresses(now time.Time, regions lacewingramp.NameList, cutOff bool) []string {
 	ready := e.Ready()
 	if ready != e.lookupCache.ready || now.Sub(e.lookupCache.computedAt) >= heartbeat.Period {
 		e.lookupCache = lookupCache{computedAt: now, ready: ready, byRegions: make(map[string][]string)}
 	}
 	// The length distinguishes an empty list, which allows any region, from a list
 	// with one empty region name.
-	key := strconv.Itoa(len(regions)) + " " + strings.Join(regions, " ")
+	key := strconv.FormatBool(cutOff) + strconv.Itoa(len(regions)) + " " + strings.Join(regions, " ")
 	found, ok := e.lookupCache.byRegions[key]
 	if !ok {
-		found = e.selectAddresses(now, regions, ready)
+		found = e.selectAddresses(now, regions, ready, cutOff)
 		e.lookupCache.byRegions[key] = found
 	}
 	return found
 }
 
-func (e *Edge) selectAddresses(now time.Time, regions lacewingramp.NameList, ready bool) []string {
-	serving := e.peers.Serving(now)
+func (e *Edge) selectAddresses(now time.Time, regions lacewingramp.NameList, ready, cutOff bool) []string {
+	serving := e.peers.Serving(now, cutOff)
 	rates := e.peers.RequestRates(now)
 	rates[e.Name] = e.requestRate
-	if ready {
+	if ready && e.reach.CutOff() == cutOff {
 		serving = append(serving, e.self)
 	}
 	var allowed []lacewingramp.Endpoint
--- /dev/null
+++ b/internal/entry/edge/edge_reach.go
@@ -0,0 +1,124 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/call/exchange"
+	"lacewingramp.example/lacewingramp/internal/call/message"
+	"lacewingramp.example/lacewingramp/internal/steer/reach"
+)
+
+const (
+	// maxCheckedTargets is the number of targets that are checked before the instance
+	// counts as cut off from all of them.
+	maxCheckedTargets = 6
+	// firstCheckTimeout limits the check of the first target, and checkTimeout that of the
+	// others, which are checked concurrently.
+	firstCheckTimeout = 300 * time.Millisecond
+	checkTimeout      = 700 * time.Millisecond
+)
+
+// CutOff reports whether the instance reaches no target.
+func (e *Edge) CutOff() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.reach.CutOff()
+}
+
+// checkReach checks in the background whether targets respond, unless such a check is in
+// progress. The channel is closed when the check ends. The caller must hold e.mu.
+func (e *Edge) checkReach() <-chan struct{} {
+	if e.reachCheck != nil {
+		return e.reachCheck
+	}
+	done := make(chan struct{})
+	e.reachCheck = done
+	e.reach.CheckStarted()
+	targets := e.placer.Spread(maxCheckedTargets)
+	go func() {
+		reached := len(targets) == 0 || e.anyResponds(targets)
+		e.mu.Lock()
+		e.endReachCheck(reached, len(targets))
+		e.mu.Unlock()
+		close(done)
+	}()
+	return done
+}
+
+// endReachCheck records the result of a check. The caller must hold e.mu.
+func (e *Edge) endReachCheck(reached bool, checked int) {
+	e.reachCheck = nil
+	now, since := e.Timer.Now(), e.reach.CutOffSince()
+	if !e.reach.CheckEnded(now, reached) {
+		return
+	}
+	e.lookupCache = lookupCache{}
+	if !reached {
+		e.Log.Warn().Int("checked", checked).Dur("after", now.Sub(e.reach.CutOffSince())).Msg("lost all targets, relaying requests to other instances")
+		return
+	}
+	e.placer.ForgetUnreachable(since)
+	e.Log.Info().Dur("after", now.Sub(since)).Msg("reached a target again")
+}
+
+// anyResponds reports whether a target responds on a new connection. Most checks end with
+// the first one.
+func (e *Edge) anyResponds(targets []lacewingramp.Target) bool {
+	if e.responds(targets[0], firstCheckTimeout) {
+		return true
+	}
+	var wg sync.WaitGroup
+	responded := make([]bool, len(targets))
+	for i, t := range targets {
+		wg.Go(func() { responded[i] = e.responds(t, checkTimeout) })
+	}
+	wg.Wait()
+	for _, r := range responded {
+		if r {
+			return true
+		}
+	}
+	return false
+}
+
+// responds reports whether a target responds to a health check on a new connection, with
+// any status. A target of a service without a health check path only has to accept the
+// connection.
+func (e *Edge) responds(t lacewingramp.Target, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	path := e.healthPath(t.Service)
+	if path == "" {
+		return e.accepts(ctx, t.Address)
+	}
+	r := e.client.Do(ctx, exchange.TargetRequest{
+		Address: t.Address, NewConnection: true,
+		Request: &message.Request{Method: http.MethodGet, URI: path, Host: t.Address},
+	})
+	return r.Response != nil
+}
+
+// accepts reports whether a connection to an address can be opened.
+func (e *Edge) accepts(ctx context.Context, address string) bool {
+	c, err := e.client.Dial(ctx, address)
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
+
+// reachResult returns what the result of an attempt shows of the way to the targets.
+func reachResult(ctx context.Context, r exchange.Result) reach.Result {
+	return reach.Result{
+		Responded:        r.Response != nil,
+		Cancelled:        r.NotAllowed || errors.Is(ctx.Err(), context.Canceled),
+		OpenedConnection: r.ConnectionOpened || r.Unreachable,
+	}
+}
--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"net"
 	"net/http"
 	"time"
 
@@ -46,7 +45,16 @@
 		e.poisonGuard.Finish(e.Timer.Now(), j.fingerprint, anyCrashed)
 	}()
 	for ctx.Err() == nil {
+		if e.shouldRelay(j) {
+			if resp := e.relay(ctx, j); resp != nil {
+				return resp
+			}
+			continue
+		}
 		choice, ok := e.choose(j)
+		if !ok && e.shouldRelay(j) {
+			continue
+		}
 		if !ok {
 			break
 		}
@@ -109,7 +117,10 @@
 
 // send sends a request to the chosen target.
 func (e *Edge) send(ctx context.Context, j *job, c placement.Choice) attempt {
+	e.mu.Lock()
 	sentAt := e.Timer.Now()
+	reachID := e.reach.Start(sentAt)
+	e.mu.Unlock()
 	h := maps.Clone(j.request.Header)
 	message.RemoveHopByHopHeaders(h)
 	e.HeaderCodec.SetTargetHeaders(h, lacewingramp.TargetHeaders{
@@ -124,6 +135,12 @@
 	if r.ConnectionOpened {
 		e.Meter.ConnectionOpened()
 	}
+	e.mu.Lock()
+	e.reach.End(reachID, reachResult(ctx, r))
+	if e.reach.CheckDue(e.Timer.Now()) {
+		e.checkReach()
+	}
+	e.mu.Unlock()
 	crashed := r.ConnectionBroken && e.crashed(c.Target.Address)
 	return attempt{choice: c, sentAt: sentAt, result: r, took: took, crashed: crashed}
 }
@@ -138,12 +155,9 @@
 
 // crashed reports whether a target accepts no new connection after one broke.
 func (e *Edge) crashed(address string) bool {
-	c, err := net.DialTimeout("tcp4", address, crashCheckTimeout)
-	if err != nil {
-		return true
-	}
-	_ = c.Close()
-	return false
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+	defer cancel()
+	return !e.accepts(ctx, address)
 }
 
 // recordAttempt passes the result of an attempt to the target placement and to the
@@ -216,11 +230,11 @@
 		j.fallback = r.Response
 		return nil
 	}
-	return e.relay(j, r.Response)
+	return e.respond(j, r.Response)
 }
 
-// relay records and returns the response of a target for the caller.
-func (e *Edge) relay(j *job, resp *message.Response) *message.Response {
+// respond records and returns the response of a target for the caller.
+func (e *Edge) respond(j *job, resp *message.Response) *message.Response {
 	took := e.Timer.Now().Sub(j.receivedAt)
 	e.Meter.Request(resp.Status, lacewingramp.CauseNone, took)
 	e.logTargetResponse(j, resp, took)
@@ -233,9 +247,7 @@
 	if j.mayHaveRun || j.attempts > 0 {
 		return e.fail(j, http.StatusBadGateway, lacewingramp.CauseCallerGone, "the caller has left")
 	}
-	e.mu.Lock()
-	e.quota.Refund(j.customerName())
-	e.mu.Unlock()
+	e.refundQuota(j)
 	return e.reject(j, http.StatusServiceUnavailable, lacewingramp.CauseCallerGone, "the caller has left")
 }
 
@@ -245,7 +257,7 @@
 		return e.finishCancelled(j)
 	}
 	if j.fallback != nil {
-		return e.relay(j, j.fallback)
+		return e.respond(j, j.fallback)
 	}
 	if j.mayHaveRun {
 		if !e.Timer.Now().Before(j.deadline) {
@@ -253,11 +265,9 @@
 		}
 		return e.fail(j, http.StatusBadGateway, lacewingramp.CauseTarget, "no whole answer")
 	}
-	e.mu.Lock()
-	e.quota.Refund(j.customerName())
-	e.mu.Unlock()
+	e.refundQuota(j)
 	cause, detail := lacewingramp.CauseTarget, "no target could be reached"
-	if j.allFull || j.attempts > 0 {
+	if j.failedConnects < maxFailedConnects && (j.allFull || j.attempts > 0) {
 		cause, detail = lacewingramp.CauseSlots, "all targets are full"
 	}
 	return e.refuse(j, http.StatusServiceUnavailable, cause, fullRetryAfter(), detail)
--- a/internal/entry/edge/edge_response.go
+++ b/internal/entry/edge/edge_response.go
@@ -23,17 +23,21 @@
 	return minFullRetryAfter + rand.N(fullRetryAfterJitter)
 }
 
-// newResponse returns a response of this instance itself.
-func (e *Edge) newResponse(j *job, status int) *message.Response {
+// newResponse returns a response of this instance itself. If another instance has relayed
+// the request, the response tells it the outcome.
+func (e *Edge) newResponse(j *job, status int, outcome lacewingramp.RelayOutcome) *message.Response {
 	resp := &message.Response{Status: status, Header: make(http.Header, 1)}
 	e.HeaderCodec.SetRequestID(resp.Header, j.headers.ID)
+	if j.relayed {
+		resp.Header[headerRelayOutcome] = []string{outcome.String()}
+	}
 	return resp
 }
 
 // refuse returns the response to a request that has not run and will not run. The
 // caller may retry after the given delay.
 func (e *Edge) refuse(j *job, status int, cause lacewingramp.Cause, after time.Duration, detail string) *message.Response {
-	resp := e.newResponse(j, status)
+	resp := e.newResponse(j, status, lacewingramp.RelayNotRun)
 	e.HeaderCodec.SetRetryAfter(resp.Header, after)
 	e.recordOwnResponse(j, status, cause, lacewingramp.NotRun, detail, after)
 	return resp
@@ -43,13 +47,13 @@
 // help.
 func (e *Edge) reject(j *job, status int, cause lacewingramp.Cause, detail string) *message.Response {
 	e.recordOwnResponse(j, status, cause, lacewingramp.NotRun, detail, 0)
-	return e.newResponse(j, status)
+	return e.newResponse(j, status, lacewingramp.RelayNotRun)
 }
 
 // fail returns the response to a request that may have run.
 func (e *Edge) fail(j *job, status int, cause lacewingramp.Cause, detail string) *message.Response {
 	e.recordOwnResponse(j, status, cause, lacewingramp.MayHaveRun, detail, 0)
-	return e.newResponse(j, status)
+	return e.newResponse(j, status, lacewingramp.RelayMayHaveRun)
 }
 
 func (e *Edge) recordOwnResponse(j *job, status int, cause lacewingramp.Cause, verdict lacewingramp.Verdict, detail string, after time.Duration) {
--- a/internal/entry/edge/edge_stop.go
+++ b/internal/entry/edge/edge_stop.go
@@ -31,12 +31,14 @@
 		e.Log.Error().Err(err).Msg("could not send the last heartbeat")
 	}
 	e.server.Drain()
+	e.relayServer.Drain()
 	time.Sleep(time.Duration(float64(e.StopTimeout) * acceptFraction))
 	_ = callerListener.Close()
 	e.server.Drain()
 	done := make(chan struct{})
 	go func() {
 		e.server.Wait()
+		e.relayServer.Wait()
 		close(done)
 	}()
 	left := time.Duration(float64(e.StopTimeout)*finishFraction) - e.Timer.Now().Sub(startedAt)
--- a/internal/entry/edge/fakes_test.go
+++ b/internal/entry/edge/fakes_test.go
@@ -246,12 +246,16 @@
 
 // deployment is a store, targets and instances on loopback addresses.
 type deployment struct {
-	store           *store
-	targets         []*target
+	store   *store
+	targets []*target
+	// domains are the failure domains of the first instances. Those of others are "a".
+	domains         []string
 	edges           []*edge.Edge
 	callerAddresses []string
-	stops           []context.CancelFunc
-	exited          []chan struct{}
+	// dialers open the instances' connections to targets.
+	dialers []*cutDialer
+	stops   []context.CancelFunc
+	exited  []chan struct{}
 }
 
 // freeAddress returns an unused loopback address.
@@ -310,13 +314,19 @@
 func (d *deployment) start(s edge.Store) *edge.Edge {
 	name := fmt.Sprint("edge-", len(d.edges))
 	caller := freeAddress()
+	dialer := &cutDialer{}
+	domain := "a"
+	if len(d.edges) < len(d.domains) {
+		domain = d.domains[len(d.edges)]
+	}
+	regions := map[string]string{"a": "north", "b": "south"}
 	e := edge.New(edge.Settings{
-		Name: name, Domain: "a", Region: "north", Regions: map[string]string{"a": "north", "b": "south"},
-		CallerAddress: caller, Peer: freeAddress(), Bootstrap: true, StopTimeout: 2 * time.Second, MaxLookupTTL: 5 * time.Second,
+		Name: name, Domain: domain, Region: regions[domain], Regions: regions,
+		CallerAddress: caller, Peer: freeAddress(), Relay: freeAddress(), Bootstrap: true, StopTimeout: 2 * time.Second, MaxLookupTTL: 5 * time.Second,
 		RetryRatio: 0.2, RetryExtra: 60, RetryWindow: 10 * time.Second, MaxCanaryFraction: 0.5,
 	}, edge.Dependencies{
 		Store: s, EventDecoder: codec{}, DocumentEncoder: codec{}, HeaderCodec: codec{}, Timer: wall.Timer{},
-		Log: zerolog.Nop(), Meter: meter.New(),
+		Log: zerolog.Nop(), Meter: meter.New(), Dialer: dialer,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -329,6 +339,7 @@
 		<-done
 	})
 	d.edges = append(d.edges, e)
+	d.dialers = append(d.dialers, dialer)
 	d.callerAddresses = append(d.callerAddresses, caller)
 	d.stops = append(d.stops, cancel)
 	d.exited = append(d.exited, done)
--- a/internal/operator/command/cmd_serve.go
+++ b/internal/operator/command/cmd_serve.go
@@ -71,9 +71,13 @@
 func (c *cmdServe) run(s *platform.Settings, m *meter.Meter, log zerolog.Logger) error {
 	hangup := notifyHangup()
 	storeClient := &platform.Store{Address: s.Store, OnCall: m.StoreCall}
+	relay := ""
+	if s.RelayPort > 0 {
+		relay = net.JoinHostPort(s.IP, strconv.Itoa(s.RelayPort))
+	}
 	e := edge.New(edge.Settings{
 		Name: s.Instance, Domain: s.Domain, Region: s.Region, Regions: s.Regions,
-		CallerAddress: s.CallerAddress, Peer: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)),
+		CallerAddress: s.CallerAddress, Peer: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), Relay: relay,
 		Bootstrap: s.Bootstrap, StopTimeout: s.StopTimeout, MaxLookupTTL: s.MaxLookupTTL, CPUs: s.CPUs, Bandwidth: s.Bandwidth, Memory: s.Memory, MaxCanaryFraction: s.MaxCanaryFraction,
 		RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryWindow: s.RetryWindow,
 	}, edge.Dependencies{
--- a/internal/peer/heartbeat/heartbeat_test.go
+++ b/internal/peer/heartbeat/heartbeat_test.go
@@ -37,7 +37,7 @@
 		gomega.Expect(p.FleetSize(start)).To(gomega.Equal(2))
 		gomega.Expect(p.Record(start, newHeartbeat("two", 1, 5))).To(gomega.BeTrue())
 		gomega.Expect(p.Record(start, newHeartbeat("two", 1, 5))).To(gomega.BeFalse())
-		gomega.Expect(names(p.Serving(start))).To(gomega.Equal([]string{"two"}))
+		gomega.Expect(names(p.Serving(start, false))).To(gomega.Equal([]string{"two"}))
 		p.MarkUnregistered("two")
 		gomega.Expect(p.Sweep(start)).To(gomega.BeEmpty())
 		later := start.Add(2 * time.Second)
@@ -56,7 +56,7 @@
 		earlier.Ready = false
 		p.Record(start, earlier)
 		p.Record(start, newHeartbeat("one", 1, 5))
-		gomega.Expect(names(p.Serving(start))).To(gomega.Equal([]string{"two"}))
+		gomega.Expect(names(p.Serving(start, false))).To(gomega.Equal([]string{"two"}))
 	})
 
 	ginkgo.It("does not count a leaving instance as serving", func() {
@@ -64,7 +64,7 @@
 		h := newHeartbeat("two", 1, 5)
 		h.Endpoint.Leaving = true
 		p.Record(start, h)
-		gomega.Expect(p.Serving(start)).To(gomega.BeEmpty())
+		gomega.Expect(p.Serving(start, false)).To(gomega.BeEmpty())
 	})
 
 	ginkgo.It("limits the heartbeats of a round in a large fleet, rotates through it, and keeps all alive", func() {
--- a/internal/peer/heartbeat/peers.go
+++ b/internal/peer/heartbeat/peers.go
@@ -118,6 +118,8 @@
 	position     lacewingramp.Position
 	aheadSince   time.Time
 	requestRate  float64
+	// cutOff is set if the instance reaches no target.
+	cutOff bool
 }
 
 func (p *Peers) member(name string) *member {
@@ -171,7 +173,7 @@
 	if m.position.Before(h.Position()) {
 		m.position = h.Position()
 	}
-	m.requestRate = float64(h.RequestRate)
+	m.requestRate, m.cutOff = float64(h.RequestRate), h.CutOff
 	return regained
 }
 
@@ -243,9 +245,10 @@
 	return p.filter(func(m *member) bool { return p.alive(now, m) })
 }
 
-// Serving returns the other live instances that accept requests from callers.
-func (p *Peers) Serving(now time.Time) []lacewingramp.Endpoint {
-	return p.filter(func(m *member) bool { return p.alive(now, m) && m.ready && !m.Leaving })
+// Serving returns the other live instances that accept requests from callers: either those
+// that reach targets, or those that are cut off from all targets.
+func (p *Peers) Serving(now time.Time, cutOff bool) []lacewingramp.Endpoint {
+	return p.filter(func(m *member) bool { return p.alive(now, m) && m.ready && !m.Leaving && m.cutOff == cutOff })
 }
 
 // RequestRates returns the request rates that the other live instances report, by
--- a/internal/report/meter/meter.go
+++ b/internal/report/meter/meter.go
@@ -60,6 +60,11 @@
 	m.set.GetOrCreateCounter(`lacewingramp_pool_draws_total{ok="` + strconv.FormatBool(granted) + `"}`).Inc()
 }
 
+// Relayed counts a request that was relayed to a peer.
+func (m *Meter) Relayed(outcome lacewingramp.RelayOutcome) {
+	m.set.GetOrCreateCounter(`lacewingramp_relayed_requests_total{outcome="` + outcome.String() + `"}`).Inc()
+}
+
 // TargetToken counts a request for a token of a target's limited rate.
 func (m *Meter) TargetToken(outcome lacewingramp.TokenOutcome) {
 	m.set.GetOrCreateCounter(`lacewingramp_target_tokens_total{outcome="` + outcome.String() + `"}`).Inc()
--- a/internal/report/meter/meter_test.go
+++ b/internal/report/meter/meter_test.go
@@ -21,6 +21,7 @@
 		m.StoreCall("/watch", time.Second, nil)
 		m.TokenReply(true)
 		m.TargetToken(lacewingramp.TokenGranted)
+		m.Relayed(lacewingramp.RelayResponded)
 		w := httptest.NewRecorder()
 		m.ServeHTTP(w, nil)
 		page, err := os.ReadFile("../../../docs/METRICS.md")
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -36,6 +36,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"sort"
 	"time"
 
@@ -204,13 +205,20 @@
 	if p.evacuated[domain] && !on {
 		for _, t := range p.targets {
 			if t.Domain == domain {
-				p.markCold(now, t)
+				t.coldUntil = latest(t.coldUntil, p.warmupEnd(now, t))
 			}
 		}
 	}
 	p.evacuated[domain] = on
 }
 
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // Registration returns the latest registration of a target.
 func (p *Placer) Registration(name string) (lacewingramp.TargetRegistration, bool) {
 	t, ok := p.targets[name]
@@ -227,6 +235,28 @@
 	return ok && t.Address == chosen.Address && !t.Leaving && !t.addressTaken && !p.evacuated[t.Domain]
 }
 
+// Spread returns up to maxCount targets that may be sent requests, in random order: of as
+// many failure domains as possible.
+func (p *Placer) Spread(maxCount int) []lacewingramp.Target {
+	names := p.Names()
+	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	domains := make(map[string]bool)
+	var spread, others []lacewingramp.Target
+	for _, n := range names {
+		t := p.targets[n]
+		switch {
+		case !p.MayServe(&t.Target):
+		case domains[t.Domain]:
+			others = append(others, t.Target)
+		default:
+			domains[t.Domain] = true
+			spread = append(spread, t.Target)
+		}
+	}
+	spread = append(spread, others...)
+	return spread[:min(maxCount, len(spread))]
+}
+
 // Names returns the names of all targets, sorted.
 func (p *Placer) Names() []string {
 	all := make([]string, 0, len(p.targets))
@@ -276,7 +306,7 @@
 			choice.NeedsProbe = true
 			return choice, true
 		}
-		choice.WarmingUp = now.Before(t.coldUntil)
+		choice.WarmingUp = t.cold(now)
 		switch p.admit(now, t.target, choice.WarmingUp, !q.NoTokenRequests) {
 		case admitted:
 			t.inflight++
@@ -316,9 +346,7 @@
 		t.loadAt, t.inflightAtLoad = now, t.inflight
 	}
 	if r.Unreachable {
-		t.suspension = min(maxSuspension, max(minSuspension, 2*t.suspension))
-		t.suspendedUntil = now.Add(t.suspension)
-		p.markCold(t.suspendedUntil, t)
+		p.suspend(now, t)
 		return
 	}
 	t.suspension = 0
--- a/internal/steer/placement/placement_cold.go
+++ b/internal/steer/placement/placement_cold.go
@@ -17,11 +17,32 @@
 	startupUncertainty = 2 * time.Second
 )
 
-// markCold treats a target as just started.
-func (p *Placer) markCold(now time.Time, t *target) {
+// warmupEnd returns until when a target that started at a time is cold, or zero if its
+// service needs no warm-up.
+func (p *Placer) warmupEnd(startedAt time.Time, t *target) time.Time {
 	warmup := time.Duration(p.settings[t.Service].Warmup)
-	if until := now.Add(warmup + coldMargin); warmup > 0 && until.After(t.coldUntil) {
-		t.coldUntil = until
+	if warmup <= 0 {
+		return time.Time{}
+	}
+	return startedAt.Add(warmup + coldMargin)
+}
+
+// suspend sends no request to a target for a while that could not be reached, and treats
+// it as just started afterwards.
+func (p *Placer) suspend(now time.Time, t *target) {
+	t.suspension = min(maxSuspension, max(minSuspension, 2*t.suspension))
+	t.suspendedUntil = now.Add(t.suspension)
+	t.assumedColdUntil = p.warmupEnd(t.suspendedUntil, t)
+	t.unreachableAt = now
+}
+
+// ForgetUnreachable ends the effects of all failures to reach a target since a time. They
+// were not the targets' if this instance was cut off from all of them.
+func (p *Placer) ForgetUnreachable(since time.Time) {
+	for _, t := range p.targets {
+		if !t.unreachableAt.Before(since) {
+			t.suspension, t.suspendedUntil, t.assumedColdUntil = 0, time.Time{}, time.Time{}
+		}
 	}
 }
 
@@ -36,7 +57,7 @@
 // That can be so shortly after the instance's start, as the target may have become
 // cold after its registration was written.
 func (p *Placer) mayBeCold(now time.Time, t *target) bool {
-	return now.Sub(p.StartedAt) < startupUncertainty && !t.confirmed && !now.Before(t.coldUntil) && p.settings[t.Service].ColdRate > 0
+	return now.Sub(p.StartedAt) < startupUncertainty && !t.confirmed && !t.cold(now) && p.settings[t.Service].ColdRate > 0
 }
 
 // RecordProbe records a target's response to a probe.
@@ -46,7 +67,7 @@
 		return
 	}
 	t.confirmed = true
-	t.coldUntil = time.Time{}
+	t.coldUntil, t.assumedColdUntil = time.Time{}, time.Time{}
 	t.setCold(now, r.WarmupRemaining)
 	t.recordLimit(now, r)
 	if r.TargetLoad != nil {
--- a/internal/steer/placement/placement_rate.go
+++ b/internal/steer/placement/placement_rate.go
@@ -161,7 +161,7 @@
 		return "", r
 	}
 	return p.rateOwner(t), lacewingramp.TargetTokenRequest{
-		Target: name, StartMillis: t.StartMillis, Cold: now.Before(t.coldUntil), Limit: t.knownLimit(now),
+		Target: name, StartMillis: t.StartMillis, Cold: t.cold(now), Limit: t.knownLimit(now),
 	}
 }
 
@@ -173,7 +173,7 @@
 	}
 	t.mergeLimit(now, r.Limit)
 	reply := lacewingramp.TokenReply{Limit: t.knownLimit(now)}
-	rate := p.maxRate(t, r.Cold || now.Before(t.coldUntil))
+	rate := p.maxRate(t, r.Cold || t.cold(now))
 	switch {
 	case math.IsInf(rate, 1):
 		reply.Granted = true
--- a/internal/steer/placement/placement_target.go
+++ b/internal/steer/placement/placement_target.go
@@ -54,7 +54,11 @@
 	failureRatioAt time.Time
 	suspendedUntil time.Time
 	suspension     time.Duration
-	coldUntil      time.Time
+	// coldUntil is until when the target is cold, as far as is known. assumedColdUntil is
+	// until when it is treated as cold because it could not be reached at unreachableAt.
+	coldUntil        time.Time
+	assumedColdUntil time.Time
+	unreachableAt    time.Time
 	// confirmed says that the registration was written after this instance's start,
 	// or that the target has responded to a probe.
 	confirmed bool
@@ -64,6 +68,11 @@
 	rateState
 }
 
+// cold reports whether a target is cold or treated as cold.
+func (t *target) cold(now time.Time) bool {
+	return now.Before(t.coldUntil) || now.Before(t.assumedColdUntil)
+}
+
 // inflightLimit returns the maximum number of concurrent requests from this
 // instance. There is one because the instance does not know all the requests that
 // others send to the target.
