Count no crash of a target at an instance that reaches none

When the connections of an instance to all targets were reset, every request in flight there counted as one that had crashed its target, as the target then accepted no new connection from it. Same class of fault: the failure of an instance's own network taken for one of its targets.

Change: a crash is counted once another target has responded since, or responds to a check; at an instance that turns out to be cut off it is not counted. The count comes 0.1 s later than before, more if a check is needed; the request itself does not wait for it.

--- a/internal/call/poison/poison.go
+++ b/internal/call/poison/poison.go
@@ -117,12 +117,17 @@
 		delete(g.running, fingerprint)
 	}
 	if crashed {
-		c := g.counter(now, fingerprint)
-		c.byInstance[g.Instance]++
-		c.lastChange = now
+		g.RecordCrash(now, fingerprint)
 	}
 }
 
+// RecordCrash records that a request has crashed its target.
+func (g *Guard) RecordCrash(now time.Time, fingerprint uint64) {
+	c := g.counter(now, fingerprint)
+	c.byInstance[g.Instance]++
+	c.lastChange = now
+}
+
 func (g *Guard) counter(now time.Time, fingerprint uint64) *counter {
 	if g.counters == nil {
 		g.counters = make(map[uint64]*counter)
--- a/internal/entry/edge/cut_test.go
+++ b/internal/entry/edge/cut_test.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := &cutConn{TCPConn: c.(*net.TCPConn), dialer: d, closed: make(chan struct{})}
+	conn := &cutConn{TCPConn: c.(*net.TCPConn), dialer: d}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.conns = append(d.conns, conn)
@@ -73,8 +73,6 @@
 type cutConn struct {
 	*net.TCPConn
 	dialer *cutDialer
-	once   sync.Once
-	closed chan struct{}
 }
 
 // Write discards the bytes while connections hang.
@@ -85,9 +83,13 @@
 	return c.TCPConn.Write(b)
 }
 
-func (c *cutConn) Close() error {
-	c.once.Do(func() { close(c.closed) })
-	return c.TCPConn.Close()
+// Read reports a reset connection as one that the target has reset.
+func (c *cutConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if err != nil && c.dialer.cut.Load() == cutReset {
+		return n, syscall.ECONNRESET
+	}
+	return n, err
 }
 
 // Guards against the refusal of requests by an instance that reaches no target although
@@ -202,6 +204,26 @@
 		found, _ := d.edges[0].Lookup("h", "north")
 		gomega.Expect(found).To(gomega.ConsistOf(d.callerAddresses))
 	})
+
+	// Guards against a fleet that refuses requests as crashing their targets because
+	// their connections were reset at an instance that was cut off.
+	ginkgo.It("does not take its reset connections for crashes of targets", func() {
+		startInstances("a", "a")
+		d.mode(modeSilence)
+		var wg sync.WaitGroup
+		for range 4 {
+			wg.Go(func() { d.request(0, "/order/1", "andes-key", "1") })
+		}
+		gomega.Eventually(d.runs).Should(gomega.BeNumerically(">=", 4))
+		d.dialers[0].set(cutReset)
+		wg.Wait()
+		d.mode(modeWell)
+		d.cutOff(0)
+		time.Sleep(time.Second)
+		for range 5 {
+			gomega.Expect(d.request(1, "/order/1", "andes-key", "1").status).To(gomega.Equal(http.StatusOK))
+		}
+	})
 })
 
 // awaitPeers waits until lookups at every instance return count instances.
--- a/internal/entry/edge/edge_reach.go
+++ b/internal/entry/edge/edge_reach.go
@@ -22,6 +22,9 @@
 	// others, which are checked concurrently.
 	firstCheckTimeout = 300 * time.Millisecond
 	checkTimeout      = 700 * time.Millisecond
+	// crashConfirmDelay is how long the instance waits for responses of other targets
+	// before it counts a crash.
+	crashConfirmDelay = 100 * time.Millisecond
 )
 
 // CutOff reports whether the instance reaches no target.
@@ -122,3 +125,21 @@
 		OpenedConnection: r.ConnectionOpened || r.Unreachable,
 	}
 }
+
+// recordCrash counts the crash of a target that ran a request, unless this instance turns
+// out to be cut off from all targets: then all of them look as if they had crashed.
+func (e *Edge) recordCrash(fingerprint uint64, at time.Time) {
+	time.Sleep(crashConfirmDelay)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.reach.CutOff() && !e.reach.RespondedSince(at) {
+		check := e.checkReach()
+		e.mu.Unlock()
+		<-check
+		e.mu.Lock()
+	}
+	if e.reach.CutOff() {
+		return
+	}
+	e.poisonGuard.RecordCrash(e.Timer.Now(), fingerprint)
+}
--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -38,11 +38,10 @@
 // run sends an admitted request to one target after another until there is a response
 // for the caller.
 func (e *Edge) run(ctx context.Context, j *job) *message.Response {
-	anyCrashed := false
 	defer func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		e.poisonGuard.Finish(e.Timer.Now(), j.fingerprint, anyCrashed)
+		e.poisonGuard.Finish(e.Timer.Now(), j.fingerprint, false)
 	}()
 	for ctx.Err() == nil {
 		if e.shouldRelay(j) {
@@ -67,7 +66,9 @@
 			continue
 		}
 		a := e.send(ctx, j, choice)
-		anyCrashed = anyCrashed || a.crashed
+		if a.crashed {
+			go e.recordCrash(j.fingerprint, e.Timer.Now())
+		}
 		e.recordAttempt(ctx, j, a)
 		if resp := e.handleResult(ctx, j, a.result); resp != nil {
 			return resp
