Split the following of the store by subject

edge_follow.go held 422 lines: the loop that reads changes, whom to follow, the tree of followers, catching up, and the source for followers.

--- a/internal/entry/edge/edge_follow.go
+++ b/internal/entry/edge/edge_follow.go
@@ -1,17 +1,14 @@
 package edge
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"lacewingramp.example/lacewingramp"
 	"lacewingramp.example/lacewingramp/internal/peer/follower"
-	"lacewingramp.example/lacewingramp/internal/peer/rendezvous"
 )
 
 const (
@@ -33,13 +30,6 @@
 	// the store.
 	minStoreBackoff = 100 * time.Millisecond
 	maxStoreBackoff = time.Second
-	// unwatchedTime is how long no instance may seem to watch the store before one does
-	// so whatever its place in the tree.
-	unwatchedTime = 2 * time.Second
-	// catchUpDelay is how long a peer must be at a newer revision before this
-	// instance catches up from it. A change normally reaches all instances within
-	// some tens of milliseconds.
-	catchUpDelay = 200 * time.Millisecond
 	// reregisterGrace is how long after a store outage the targets whose
 	// registrations expired have to register again. A registration that ends later
 	// means that its target is gone.
@@ -76,27 +66,6 @@
 	peerFeed      *follower.ChangeFeed
 }
 
-// mirrorSource serves the mirror to the peers that follow this instance.
-type mirrorSource struct{ e *Edge }
-
-func (s mirrorSource) Snapshot() ([]lacewingramp.KeyValue, lacewingramp.Position) {
-	s.e.mu.Lock()
-	defer s.e.mu.Unlock()
-	return s.e.mirror.Snapshot()
-}
-
-func (s mirrorSource) Since(after lacewingramp.Position) ([]lacewingramp.Change, lacewingramp.Position, bool) {
-	s.e.mu.Lock()
-	defer s.e.mu.Unlock()
-	return s.e.mirror.Since(after)
-}
-
-func (s mirrorSource) Changed() <-chan struct{} {
-	s.e.mu.Lock()
-	defer s.e.mu.Unlock()
-	return s.e.mirror.Changed()
-}
-
 // follow keeps the mirror up to date until ctx ends. Two instances watch the store
 // and all others follow them, directly or by way of others.
 func (e *Edge) follow(ctx context.Context) {
@@ -242,181 +211,3 @@
 	e.store.lost = false
 	e.Log.Info().Dur("away", now.Sub(e.store.lostAt)).Int64("revision", e.mirror.Position().Revision).Msg("regained the store")
 }
-
-// updateFollowAddress decides whether this instance watches the store itself, or which
-// peer it follows. A change waits for the end of a reply that is arriving, as the other
-// peer would send the changes from the first byte on.
-func (e *Edge) updateFollowAddress(now time.Time) {
-	if !e.watches(now) && !e.peers.StoreWatched(now) {
-		e.store.lastOutage = now
-	}
-	var candidates []lacewingramp.Endpoint
-	for _, p := range e.peers.ReachingStore(now) {
-		if !now.Before(e.store.avoidUntil[p.Peer]) {
-			candidates = append(candidates, p)
-		}
-	}
-	if !e.store.lost && !e.stopping.Load() {
-		candidates = append(candidates, e.self)
-	}
-	followAddress := peerToFollow(e.self, candidates, e.Regions)
-	if e.replacesWatchers(now, candidates) {
-		followAddress = ""
-	}
-	if followAddress == e.store.followAddress || e.receivesChanges() {
-		return
-	}
-	e.Log.Info().Str("from", followAddress).Bool("lost", e.store.lost).Msg("now following a peer, or watching the store if the peer address is empty")
-	e.store.followAddress = followAddress
-	e.store.interrupt()
-}
-
-// replacesWatchers reports whether this instance has to watch the store because no peer
-// does. That happens while instances disagree on who does: older programs, which don't
-// form a tree, expect it of the owner of watcherKey. The caller must hold e.mu.
-func (e *Edge) replacesWatchers(now time.Time, candidates []lacewingramp.Endpoint) bool {
-	if e.store.watchedAt.IsZero() || e.peers.StoreWatched(now) {
-		e.store.watchedAt = now
-	}
-	if now.Sub(e.store.watchedAt) < unwatchedTime {
-		return false
-	}
-	names := make([]string, len(candidates))
-	for i, p := range candidates {
-		names[i] = p.Name
-	}
-	return rendezvous.Owner(watcherKey, names) == e.Name
-}
-
-// watches reports whether this instance watches the store and the store responds.
-func (e *Edge) watches(now time.Time) bool {
-	return e.store.followAddress == "" && !e.store.lost && now.Sub(e.store.respondedAt) < maxResponseAge
-}
-
-// maxResponseAge is how long the store counts as available after a response.
-const maxResponseAge = 2 * storeLongPoll
-
-// maxFollowers is the maximum number of instances of the same region that follow one
-// instance. Each follower is sent every change in full.
-const maxFollowers = 6
-
-// peerToFollow returns the address of the peer that self follows, or "" if self
-// watches the store. candidates are the instances that can reach the store.
-//
-// The candidates of a region form a tree in which those with more capacity are closer to
-// the root, as the others have slow links. Two roots of different regions watch the
-// store, or two instances if there is only one region. The roots of the other regions
-// follow the first of those two.
-//
-// An instance only follows one that comes before it in an order that is the same for all
-// instances. That excludes cycles, even if they know of different candidates. An instance
-// that cannot reach the store keeps its place in this order, as its followers may not know
-// yet. If it is one of the two that others expect to watch the store, it follows the other.
-// If no instance of its region can reach the store, it follows any other candidate.
-func peerToFollow(self lacewingramp.Endpoint, candidates []lacewingramp.Endpoint, regions map[string]string) string {
-	if len(candidates) == 0 {
-		return ""
-	}
-	reaching := candidates
-	lost := !slices.ContainsFunc(candidates, func(p lacewingramp.Endpoint) bool { return p.Name == self.Name })
-	if lost {
-		candidates = append(slices.Clone(candidates), self)
-	}
-	ranked := rankForFollowing(candidates)
-	watchers := watchersOf(ranked, regions)
-	if i := slices.IndexFunc(watchers, func(p lacewingramp.Endpoint) bool { return p.Name == self.Name }); i >= 0 {
-		if lost {
-			return watchers[1-i].Peer
-		}
-		return ""
-	}
-	region := slices.DeleteFunc(ranked, func(p lacewingramp.Endpoint) bool { return regions[p.Domain] != regions[self.Domain] })
-	position := slices.IndexFunc(region, func(p lacewingramp.Endpoint) bool { return p.Name == self.Name })
-	switch {
-	case lost && len(region) == 1:
-		return anyOf(reaching, self.Name).Peer
-	case position == 0:
-		return watchers[0].Peer
-	default:
-		return region[(position-1)/maxFollowers].Peer
-	}
-}
-
-// anyOf returns one of the candidates, another one for different names.
-func anyOf(candidates []lacewingramp.Endpoint, name string) lacewingramp.Endpoint {
-	names := make([]string, len(candidates))
-	for i, p := range candidates {
-		names[i] = p.Name
-	}
-	return candidates[slices.Index(names, rendezvous.Owner(name, names))]
-}
-
-// watchersOf returns the instances that watch the store: the first one, and the first of
-// another region, or the second one if there is only one region.
-func watchersOf(ranked []lacewingramp.Endpoint, regions map[string]string) []lacewingramp.Endpoint {
-	if len(ranked) == 1 {
-		return ranked[:1:1]
-	}
-	second := slices.IndexFunc(ranked, func(p lacewingramp.Endpoint) bool { return regions[p.Domain] != regions[ranked[0].Domain] })
-	return []lacewingramp.Endpoint{ranked[0], ranked[max(1, second)]}
-}
-
-// watcherKey is the hash key by which all instances agree on who watches the store.
-// It has to be the same in all versions of the program that run together.
-const watcherKey = "watch the store"
-
-// rankForFollowing returns the candidates with the largest capacity first, and in the
-// order of watcherKey where capacities are equal.
-func rankForFollowing(candidates []lacewingramp.Endpoint) []lacewingramp.Endpoint {
-	byName := make(map[string]lacewingramp.Endpoint, len(candidates))
-	names := make([]string, 0, len(candidates))
-	for _, p := range candidates {
-		byName[p.Name] = p
-		names = append(names, p.Name)
-	}
-	ranked := make([]lacewingramp.Endpoint, 0, len(candidates))
-	for _, name := range rendezvous.Order(watcherKey, names) {
-		ranked = append(ranked, byName[name])
-	}
-	slices.SortStableFunc(ranked, func(a, b lacewingramp.Endpoint) int { return cmp.Compare(b.Capacity, a.Capacity) })
-	return ranked
-}
-
-// receivesChanges reports whether a reply of the followed peer is arriving. The caller
-// must hold e.mu.
-func (e *Edge) receivesChanges() bool {
-	return e.store.followAddress != "" && e.store.peerFeed != nil && e.store.peerFeed.Receiving()
-}
-
-// catchUp reads the missing changes from a peer that is at a newer revision. It also
-// interrupts the call that waits for changes, because its connection may be dead, and
-// avoids the peer that was followed. It does nothing while a reply of that peer is
-// arriving: the changes are on their way, and another peer would send them from the
-// first byte on.
-func (e *Edge) catchUp(ctx context.Context, now time.Time) {
-	e.mu.Lock()
-	address := e.peers.AheadOf(now, e.mirror.Position(), catchUpDelay)
-	if address == "" || e.store.catchingUp || e.receivesChanges() {
-		e.mu.Unlock()
-		return
-	}
-	e.store.catchingUp = true
-	if e.store.followAddress != "" {
-		e.avoidPeer(e.store.followAddress, now.Add(avoidPeerTime))
-	}
-	e.store.interrupt()
-	e.mu.Unlock()
-	go func() {
-		f := &follower.ChangeFeed{Address: address}
-		defer f.Close()
-		err := e.pull(ctx, f, false)
-		if errors.Is(err, lacewingramp.ErrCompacted) {
-			err = e.pull(ctx, f, true)
-		}
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		e.store.catchingUp = false
-		e.Log.Info().Str("from", address).Int64("revision", e.mirror.Position().Revision).AnErr("error", err).
-			Msg("finished catching up from a peer")
-	}()
-}
