Let a check that gets a response refute what began before it

While an attempt waited for longer than a second at an instance with no other responses, the instance checked a target every half second, although the check got a response each time: only responses to callers' requests counted. Found by reading; a health check is a request that a target has to serve. Now the check itself counts as a later attempt. The new test of steer/reach failed before; tests of steer/reach and entry/edge pass.

--- a/internal/entry/edge/edge_reach.go
+++ b/internal/entry/edge/edge_reach.go
@@ -42,7 +42,7 @@
 	}
 	done := make(chan struct{})
 	e.reachCheck = done
-	e.reach.CheckStarted()
+	e.reach.CheckStarted(e.Timer.Now())
 	targets := e.placer.Spread(maxCheckedTargets)
 	go func() {
 		reached := len(targets) == 0 || e.anyResponds(targets)
--- a/internal/steer/reach/reach.go
+++ b/internal/steer/reach/reach.go
@@ -17,7 +17,7 @@
 //	...
 //	m.End(now, attempt, reach.Result{Responded: true, OpenedConnection: true})
 //	if m.CheckDue(now) {
-//		m.CheckStarted()
+//		m.CheckStarted(now)
 //		reached := ... // on new connections
 //		changed := m.CheckEnded(now, reached)
 //	}
@@ -60,8 +60,10 @@
 	silentSince      time.Time
 	unconnectedSince time.Time
 
-	checking  bool
-	checkedAt time.Time
+	// checkStartedAt is when the check in progress began, zero if there is none, and
+	// checkedAt when the last one ended.
+	checkStartedAt time.Time
+	checkedAt      time.Time
 	// cutOffSince is the time of the first sign that the instance is cut off, zero if it
 	// is not.
 	cutOffSince time.Time
@@ -126,7 +128,7 @@
 
 // CheckDue reports whether a check should start now.
 func (m *Monitor) CheckDue(now time.Time) bool {
-	if m.checking || now.Sub(m.checkedAt) < minCheckInterval {
+	if !m.checkStartedAt.IsZero() || now.Sub(m.checkedAt) < minCheckInterval {
 		return false
 	}
 	return m.CutOff() || !m.silentSince.IsZero() || !m.unconnectedSince.IsZero() || m.silent(now)
@@ -144,8 +146,8 @@
 }
 
 // CheckStarted records the start of a check.
-func (m *Monitor) CheckStarted() {
-	m.checking = true
+func (m *Monitor) CheckStarted(now time.Time) {
+	m.checkStartedAt = now
 }
 
 // CheckEnded records the end of a check and whether a target responded. It reports
@@ -155,10 +157,11 @@
 	switch {
 	case reached:
 		m.cutOffSince = time.Time{}
+		m.responded(m.checkStartedAt, true)
 	case changed:
 		m.cutOffSince = m.firstSign(now)
 	}
-	m.checking, m.checkedAt = false, now
+	m.checkStartedAt, m.checkedAt = time.Time{}, now
 	m.silentSince, m.unconnectedSince = time.Time{}, time.Time{}
 	return changed
 }
--- a/internal/steer/reach/reach_test.go
+++ b/internal/steer/reach/reach_test.go
@@ -49,6 +49,15 @@
 		gomega.Expect(m.CheckDue(at(1100))).To(gomega.BeFalse())
 	})
 
+	ginkgo.It("does not check again for an attempt that was already waiting when a check got a response", func() {
+		m.Start(at(0))
+		m.CheckStarted(at(1100))
+		gomega.Expect(m.CheckEnded(at(1200), true)).To(gomega.BeFalse())
+		gomega.Expect(m.CheckDue(at(5000))).To(gomega.BeFalse())
+		m.Start(at(4000))
+		gomega.Expect(m.CheckDue(at(5100))).To(gomega.BeTrue())
+	})
+
 	ginkgo.It("draws no conclusion from attempts that the instance ended itself", func() {
 		m.End(m.Start(at(0)), reach.Result{Cancelled: true})
 		gomega.Expect(m.CheckDue(at(10))).To(gomega.BeFalse())
@@ -56,7 +65,7 @@
 
 	ginkgo.It("is cut off from a check without a response until one with a response", func() {
 		m.End(m.Start(at(0)), unconnected)
-		m.CheckStarted()
+		m.CheckStarted(at(5))
 		gomega.Expect(m.CheckDue(at(10))).To(gomega.BeFalse())
 		gomega.Expect(m.CheckEnded(at(500), false)).To(gomega.BeTrue())
 		gomega.Expect(m.CutOff()).To(gomega.BeTrue())
