--- a/GNUmakefile
+++ b/GNUmakefile
@@ -60,7 +60,7 @@
 	$(BENCH) hunt $(SITE) --days $(DAYS) --why "$(WHY)"
 
 soak:
-	LACEWINGRAMP_SOAK_SEEDS=$(SEEDS) LACEWINGRAMP_SOAK_TIME=$(TIME) $(GO) test -timeout 3h -count=1 ./platform/soak -ginkgo.v
+	LACEWINGRAMP_SOAK_SEEDS=$(SEEDS) LACEWINGRAMP_SOAK_TIME=$(TIME) $(GO) test -v -timeout 3h -count=1 ./platform/soak -ginkgo.v
 
 clean:
 	rm -rf bin target
