Test limits of targets in a large fleet and while instances come and go

Two more fleets on the manual clock: 60 instances, and eight of which one after another dies or freezes and comes back. Both pass on this code; neither found a fault.

--- a/internal/steer/placement/rate_test.go
+++ b/internal/steer/placement/rate_test.go
@@ -154,6 +154,41 @@
 		}
 	})
 
+	ginkgo.It("is kept by a large fleet, and used", func() {
+		f := newLimitedFleet(60, 4)
+		limitAll(f, 4)
+		f.run(start, 8*time.Second, allSend)
+		for i := range 4 {
+			total, most := f.arrivalsAfter(fmt.Sprintf("t%d", i), learned)
+			gomega.Expect(float64(most)).To(gomega.BeNumerically("<=", allowed))
+			gomega.Expect(float64(total)).To(gomega.BeNumerically(">=", 0.9*limit*7))
+		}
+	})
+
+	ginkgo.It("is kept while instances die, freeze and come back", func() {
+		f := newLimitedFleet(8, 4)
+		limitAll(f, 4)
+		f.run(start, 5*time.Second, allSend)
+		now := start.Add(5 * time.Second)
+		for i := range 10 {
+			gone := f.names[i%len(f.names)]
+			others := func(name string) bool { return name != gone }
+			f.connected = func(from, to string) bool { return others(from) && others(to) }
+			f.run(now, time.Second, others)
+			f.updateInstances()
+			f.run(now.Add(time.Second), time.Second, others)
+			f.connected = func(string, string) bool { return true }
+			f.run(now.Add(2*time.Second), time.Second, allSend)
+			f.updateInstances()
+			now = now.Add(3 * time.Second)
+		}
+		for i := range 4 {
+			total, most := f.arrivalsAfter(fmt.Sprintf("t%d", i), learned)
+			gomega.Expect(float64(most)).To(gomega.BeNumerically("<=", allowed))
+			gomega.Expect(float64(total)).To(gomega.BeNumerically(">=", 0.6*limit*34))
+		}
+	})
+
 	ginkgo.It("is not lost where only one instance has callers", func() {
 		f := newLimitedFleet(8, 4)
 		limitAll(f, 4)
