--- a/internal/operator/command/cmd_settings.go
+++ b/internal/operator/command/cmd_settings.go
@@ -34,6 +34,7 @@
 		{"lookup", s.Lookup, "listen address for lookups"},
 		{"ready", s.Ready, "listen address for the platform's readiness checks"},
 		{"peer", fmt.Sprintf("%s:%d", s.IP, s.PeerPort), "listen address for other instances"},
+		{"relay-port", s.RelayPort, "port for requests that other instances relay, 0 for none"},
 		{"store", s.Store, "address of the platform's store"},
 		{"bootstrap", s.Bootstrap, "whether the deployment starts for the first time"},
 		{"stop", s.StopTimeout, "maximum duration of a graceful stop"},
