Promise nothing for a request that a peer has not run

An idempotent request that was in flight when its instance was cut off may have run. If the peer that it was then relayed to refused it, the caller got the peer's 503, a promise that the request has not run, which was true of the peer's attempts only. Now the instance answers for all attempts: with the response of a target that it has, or 502 or 504. The new test of entry/edge failed before (503 in place of 502) and passes. The time left that goes along is never negative, which the peer would refuse.

--- a/internal/entry/edge/cut_test.go
+++ b/internal/entry/edge/cut_test.go
@@ -168,6 +168,20 @@
 		gomega.Expect(r.retryAfter).NotTo(gomega.BeEmpty())
 	})
 
+	// Guards against a promise that a request has not run which is true of the peer only.
+	ginkgo.It("does not promise that a request has not run because a peer has not run it", func() {
+		startInstances("a", "a")
+		d.mode(modeSilence)
+		result := make(chan response, 1)
+		go func() { result <- d.request(0, "/read/1", "andes-key", "1") }()
+		gomega.Eventually(d.runs).Should(gomega.Equal(int32(1)))
+		d.mode(modeShed)
+		d.dialers[0].set(cutReset)
+		var r response
+		gomega.Eventually(result, 5*time.Second).Should(gomega.Receive(&r))
+		gomega.Expect(r.status).To(gomega.Equal(http.StatusBadGateway))
+	})
+
 	ginkgo.It("responds at the deadline if the target of a peer does not", func() {
 		startInstances("a", "a")
 		next := testTable(2)
--- a/internal/entry/edge/edge_relay.go
+++ b/internal/entry/edge/edge_relay.go
@@ -54,16 +54,19 @@
 		outcome := relayOutcome(r)
 		e.Meter.Relayed(outcome)
 		e.logRelay(j, p, outcome, r)
-		switch outcome {
-		case lacewingramp.RelayUnavailable, lacewingramp.RelayUnreachable:
+		switch {
+		case outcome == lacewingramp.RelayUnavailable || outcome == lacewingramp.RelayUnreachable:
 			continue
-		case lacewingramp.RelayLost:
+		case outcome == lacewingramp.RelayLost:
 			j.attempts++
 			j.mayHaveRun = true
 			if j.route.Idempotent {
 				continue
 			}
 			return e.finish(ctx, j)
+		case j.mayHaveRun && outcome != lacewingramp.RelayResponded:
+			// What the other instance says holds only of its own attempts.
+			return e.finish(ctx, j)
 		default:
 			return e.finishRelayed(j, outcome, r.Response)
 		}
@@ -97,7 +100,7 @@
 // relayTo relays a request to one instance and returns the result.
 func (e *Edge) relayTo(ctx context.Context, j *job, p lacewingramp.Endpoint) exchange.Result {
 	value, err := json.Marshal(lacewingramp.RelayedRequest{
-		Revision: j.tableRevision, Remaining: j.deadline.Sub(e.Timer.Now()), Attempts: j.attempts, Tried: j.tried,
+		Revision: j.tableRevision, Remaining: max(0, j.deadline.Sub(e.Timer.Now())), Attempts: j.attempts, Tried: j.tried,
 	})
 	if err != nil {
 		return exchange.Result{Verdict: lacewingramp.NotRun, Err: err}
