--- a/internal/entry/edge/edge_lookup.go
+++ b/internal/entry/edge/edge_lookup.go
@@ -61,15 +61,15 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.Timer.Now()
-	for _, cutOff := range []bool{false, true} {
-		for _, regions := range []lacewingramp.NameList{{region}, allowedRegions} {
-			if found := e.cachedAddresses(now, regions, cutOff); len(found) > 0 {
-				return lookup.Sample(found), ttl
-			}
-		}
-	}
-	for _, cutOff := range []bool{false, true} {
-		if found := e.cachedAddresses(now, nil, cutOff); len(found) > 0 {
+	for _, c := range []struct {
+		regions lacewingramp.NameList
+		cutOff  bool
+	}{
+		{lacewingramp.NameList{region}, false}, {allowedRegions, false},
+		{lacewingramp.NameList{region}, true}, {allowedRegions, true},
+		{nil, false}, {nil, true},
+	} {
+		if found := e.cachedAddresses(now, c.regions, c.cutOff); len(found) > 0 {
 			return lookup.Sample(found), ttl
 		}
 	}
