--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -215,20 +215,13 @@
 	if p.evacuated[domain] && !on {
 		for _, t := range p.targets {
 			if t.Domain == domain {
-				t.coldUntil = latest(t.coldUntil, p.warmupEnd(now, t))
+				p.markCold(now, t)
 			}
 		}
 	}
 	p.evacuated[domain] = on
 }
 
-func latest(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 // Registration returns the latest registration of a target.
 func (p *Placer) Registration(name string) (lacewingramp.TargetRegistration, bool) {
 	t, ok := p.targets[name]
@@ -310,26 +303,32 @@
 		if !fits(i, t.target) {
 			continue
 		}
-		chosen := t.Target
-		choice := Choice{Target: &chosen, RankingPosition: i}
+		choice := Choice{RankingPosition: i}
 		if p.mayBeCold(now, t.target) && !t.probeFailed {
 			choice.NeedsProbe = true
-			return choice, true
+			return choice.of(t.target), true
 		}
 		choice.WarmingUp = t.cold(now)
 		switch p.admit(now, t.target, choice.WarmingUp, !q.NoTokenRequests) {
 		case admitted:
 			t.inflight++
-			return choice, true
+			return choice.of(t.target), true
 		case tokenNeeded:
 			choice.NeedsToken = true
-			return choice, true
+			return choice.of(t.target), true
 		case rejected:
 		}
 	}
 	return Choice{}, false
 }
 
+// of returns the choice with a copy of a target.
+func (c Choice) of(t *target) Choice {
+	chosen := t.Target
+	c.Target = &chosen
+	return c
+}
+
 // Cancel releases a Choice that was not used.
 func (p *Placer) Cancel(name string) {
 	if t, ok := p.targets[name]; ok {
--- a/internal/steer/placement/placement_cold.go
+++ b/internal/steer/placement/placement_cold.go
@@ -27,6 +27,13 @@
 	return startedAt.Add(warmup + coldMargin)
 }
 
+// markCold treats a target as just started.
+func (p *Placer) markCold(now time.Time, t *target) {
+	if until := p.warmupEnd(now, t); until.After(t.coldUntil) {
+		t.coldUntil = until
+	}
+}
+
 // suspend sends no request to a target for a while that could not be reached, and treats
 // it as just started afterwards.
 func (p *Placer) suspend(now time.Time, t *target) {
