Reuse the connections of any dialer that are open

Cause: an idle connection is reused only if it has no unread bytes, which was checked for *net.TCPConn alone. Connections of another Dialer were never reused. No program has one; tests do. entry/edge's "serves its callers through a peer ... while its connections live on while new ones are refused" therefore never had an open connection and played the same cut as "are reset".

Change: every connection that gives access to its descriptor is checked.

--- a/internal/call/exchange/exchange.go
+++ b/internal/call/exchange/exchange.go
@@ -232,7 +232,7 @@
 
 // openWithoutInput reports whether a connection is open and has no unread bytes.
 func openWithoutInput(conn net.Conn) bool {
-	t, ok := conn.(*net.TCPConn)
+	t, ok := conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
