Do not take targets that respond slowly for targets that cannot be reached

Callers of an instance that had really lost its targets could be served by nobody while all instances open connections slowly.

Cause: a check of the targets on new connections had 0.7 s, a request has 1 s for the connection and its deadline for the response. After one failed attempt an instance whose connections took 0.8 s counted as cut off, although its targets responded on open connections. If all instances did, one that was cut off found no other to relay to.

Change: if targets responded on open connections since the check began, or the instance is cut off already, a check has 2 s. An instance for which nothing responds still counts as cut off after 0.7 s, and refused or reset connections end a check at once.

--- a/internal/entry/edge/cut_test.go
+++ b/internal/entry/edge/cut_test.go
@@ -27,8 +27,13 @@
 	cutReset
 	// cutNew refuses new connections and leaves open ones alone.
 	cutNew
+	// cutSlow is no cut: new connections are opened after slowDialTime.
+	cutSlow
 )
 
+// slowDialTime is longer than most checks of targets take.
+const slowDialTime = 900 * time.Millisecond
+
 // cutDialer opens connections unless its instance is cut off.
 type cutDialer struct {
 	cut atomic.Int32
@@ -49,6 +54,14 @@
 	if err != nil {
 		return nil, err
 	}
+	if d.cut.Load() == cutSlow {
+		select {
+		case <-time.After(slowDialTime):
+		case <-ctx.Done():
+			_ = c.Close()
+			return nil, ctx.Err()
+		}
+	}
 	conn := &cutConn{TCPConn: c.(*net.TCPConn), dialer: d}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -240,6 +253,31 @@
 	})
 })
 
+// Guards against an instance that relays its requests because its connections are opened
+// slowly, although it reaches targets and gets their responses on open connections.
+var _ = ginkgo.Describe("an instance whose connections to targets are opened slowly", func() {
+	ginkgo.It("is not cut off", func() {
+		const objects = 24
+		d := newDeployment(6)
+		d.store.put("table/now", testTable(1))
+		e := d.start(d.store)
+		gomega.Eventually(e.Ready, 5*time.Second).Should(gomega.BeTrue())
+		send := func() {
+			for i := range objects {
+				gomega.Expect(d.request(0, "/read/1", "andes-key", fmt.Sprint(i)).status).To(gomega.Equal(http.StatusOK))
+			}
+		}
+		send()
+		d.dialers[0].set(cutSlow)
+		// A target that cannot be reached makes the instance check the others.
+		d.store.put("target/t6", d.registration(6, freeAddress()))
+		gomega.Consistently(func() bool {
+			send()
+			return e.CutOff()
+		}, 5*time.Second).Should(gomega.BeFalse())
+	})
+})
+
 // awaitPeers waits until lookups at every instance return count instances.
 func (d *deployment) awaitPeers(count int) {
 	for _, e := range d.edges {
--- a/internal/entry/edge/edge_reach.go
+++ b/internal/entry/edge/edge_reach.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -18,10 +17,12 @@
 	// maxCheckedTargets is the number of targets that are checked before the instance
 	// counts as cut off from all of them.
 	maxCheckedTargets = 6
-	// firstCheckTimeout limits the check of the first target, and checkTimeout that of the
-	// others, which are checked concurrently.
+	// firstCheckTimeout limits the check of the first target, and checkTimeout that of
+	// all, which are checked concurrently. If there are signs that they only respond
+	// slowly, slowCheckTimeout applies instead of checkTimeout.
 	firstCheckTimeout = 300 * time.Millisecond
 	checkTimeout      = 700 * time.Millisecond
+	slowCheckTimeout  = 2 * time.Second
 	// crashConfirmDelay is how long the instance waits for responses of other targets
 	// before it counts a crash.
 	crashConfirmDelay = 100 * time.Millisecond
@@ -42,10 +43,11 @@
 	}
 	done := make(chan struct{})
 	e.reachCheck = done
-	e.reach.CheckStarted(e.Timer.Now())
+	startedAt := e.Timer.Now()
+	e.reach.CheckStarted(startedAt)
 	targets := e.placer.Spread(maxCheckedTargets)
 	go func() {
-		reached := len(targets) == 0 || e.anyResponds(targets)
+		reached := len(targets) == 0 || e.anyResponds(targets, startedAt)
 		e.mu.Lock()
 		e.endReachCheck(reached, len(targets))
 		e.mu.Unlock()
@@ -70,32 +72,50 @@
 	e.Log.Info().Dur("after", now.Sub(since)).Msg("reached a target again")
 }
 
-// anyResponds reports whether a target responds on a new connection. Most checks end with
-// the first one.
-func (e *Edge) anyResponds(targets []lacewingramp.Target) bool {
-	if e.responds(targets[0], firstCheckTimeout) {
+// anyResponds reports whether a target responds on a new connection to a check that began
+// at startedAt. Most checks end with the first target.
+func (e *Edge) anyResponds(targets []lacewingramp.Target, startedAt time.Time) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), firstCheckTimeout)
+	defer cancel()
+	if e.responds(ctx, targets[0]) {
 		return true
 	}
-	var wg sync.WaitGroup
-	responded := make([]bool, len(targets))
-	for i, t := range targets {
-		wg.Go(func() { responded[i] = e.responds(t, checkTimeout) })
+	ctx, cancelAll := context.WithTimeout(context.Background(), slowCheckTimeout)
+	defer cancelAll()
+	results := make(chan bool, len(targets))
+	for _, t := range targets {
+		go func() { results <- e.responds(ctx, t) }()
 	}
-	wg.Wait()
-	for _, r := range responded {
-		if r {
-			return true
+	timeout := time.After(checkTimeout)
+	for ended := 0; ended < len(targets); {
+		select {
+		case responded := <-results:
+			if responded {
+				return true
+			}
+			ended++
+		case <-timeout:
+			if !e.mayBeSlow(startedAt) {
+				return false
+			}
 		}
 	}
 	return false
 }
 
+// mayBeSlow reports whether targets that have not responded to a check in time may only be
+// slow: if they still respond on open connections, or if the instance relays its requests
+// anyway, so that there is no hurry.
+func (e *Edge) mayBeSlow(checkStartedAt time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.reach.CutOff() || e.reach.RespondedSince(checkStartedAt)
+}
+
 // responds reports whether a target responds to a health check on a new connection, with
 // any status. A target of a service without a health check path only has to accept the
 // connection.
-func (e *Edge) responds(t lacewingramp.Target, timeout time.Duration) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
+func (e *Edge) responds(ctx context.Context, t lacewingramp.Target) bool {
 	path := e.healthPath(t.Service)
 	if path == "" {
 		return e.accepts(ctx, t.Address)
