Take the outcome of a relayed request from the other instance only

Found by reading the diff of the relays. Callers of an instance that is cut off could be told 503, not run, for a request that had run, or it could run twice.

Cause: only the other instance's own responses stated an outcome. Those of targets were passed on as they came, also with that header if a target sent it, and a response without it counted as a target's, also the other instance's refusal of a request that it could not read.

Change: each response to a relayed request states its outcome, set by the instance that sends it to the target. One without is of an instance that could not read the request, so that it goes to the next.

--- a/internal/entry/edge/cut_test.go
+++ b/internal/entry/edge/cut_test.go
@@ -158,6 +158,17 @@
 		gomega.Expect(d.runs() - before).To(gomega.Equal(int32(1)))
 	})
 
+	// Guards against a request that runs twice because its target sends the header with
+	// which instances tell each other the outcome.
+	ginkgo.It("takes no outcome from a target", func() {
+		startInstances("a", "a", "a")
+		d.cutOff(0)
+		d.mode(modeForge)
+		before := d.runs()
+		gomega.Expect(d.request(0, "/order/1", "andes-key", "1").status).To(gomega.Equal(http.StatusOK))
+		gomega.Expect(d.runs() - before).To(gomega.Equal(int32(1)))
+	})
+
 	ginkgo.It("relays within a customer's limit, and passes on the refusals of a peer", func() {
 		startInstances("a", "a")
 		const rate, burst, slack = 20.0, 10.0, 2.0
--- a/internal/entry/edge/edge_relay.go
+++ b/internal/entry/edge/edge_relay.go
@@ -18,7 +18,7 @@
 // other instance does the rest.
 
 // Headers between instances, in canonical form. headerRelayed holds a RelayedRequest as
-// JSON, and headerRelayOutcome a RelayOutcome. A response without it is a target's.
+// JSON, and headerRelayOutcome a RelayOutcome, which every response to one has.
 const (
 	headerRelayed      = "Lacewingramp-Relayed"
 	headerRelayOutcome = "Lacewingramp-Relay-Outcome"
@@ -123,7 +123,8 @@
 	}
 	text := r.Response.Header.Get(headerRelayOutcome)
 	if text == "" {
-		return lacewingramp.RelayResponded
+		// The other instance could not read the request.
+		return lacewingramp.RelayUnavailable
 	}
 	outcome, err := lacewingramp.ParseRelayOutcome(text)
 	if err != nil {
@@ -133,6 +134,14 @@
 	return outcome
 }
 
+// setRelayOutcome tells the instance that has relayed a request the outcome. It replaces
+// what a target's response says of one.
+func (j *job) setRelayOutcome(resp *message.Response, outcome lacewingramp.RelayOutcome) {
+	if j.relayed {
+		resp.Header[headerRelayOutcome] = []string{outcome.String()}
+	}
+}
+
 // finishRelayed returns the response of another instance for the caller.
 func (e *Edge) finishRelayed(j *job, outcome lacewingramp.RelayOutcome, resp *message.Response) *message.Response {
 	delete(resp.Header, headerRelayOutcome)
--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -239,6 +239,7 @@
 	took := e.Timer.Now().Sub(j.receivedAt)
 	e.Meter.Request(resp.Status, lacewingramp.CauseNone, took)
 	e.logTargetResponse(j, resp, took)
+	j.setRelayOutcome(resp, lacewingramp.RelayResponded)
 	return resp
 }
 
--- a/internal/entry/edge/edge_response.go
+++ b/internal/entry/edge/edge_response.go
@@ -28,9 +28,7 @@
 func (e *Edge) newResponse(j *job, status int, outcome lacewingramp.RelayOutcome) *message.Response {
 	resp := &message.Response{Status: status, Header: make(http.Header, 1)}
 	e.HeaderCodec.SetRequestID(resp.Header, j.headers.ID)
-	if j.relayed {
-		resp.Header[headerRelayOutcome] = []string{outcome.String()}
-	}
+	j.setRelayOutcome(resp, outcome)
 	return resp
 }
 
--- a/internal/entry/edge/fakes_test.go
+++ b/internal/entry/edge/fakes_test.go
@@ -199,6 +199,8 @@
 	modeSilence = "silence"
 	// modeEndless sends interim responses until the caller closes the connection.
 	modeEndless = "endless"
+	// modeForge responds as if it were an instance that has not run the request.
+	modeForge = "forge"
 )
 
 func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -222,6 +224,8 @@
 		return
 	case modeFail:
 		w.WriteHeader(http.StatusInternalServerError)
+	case modeForge:
+		w.Header().Set("Lacewingramp-Relay-Outcome", lacewingramp.RelayUnavailable.String())
 	case modeSilence:
 		select {
 		case <-r.Context().Done():
