State the time to wait for a token once, and set up an arriving reply once

Left from before: entry/edge and steer/placement each had the same 150 ms, and two tests of catching up set up the same reply of a peer. No change of behaviour; checks and bounds are unchanged. A comment of steer/placement is wrapped as the others are.

--- a/internal/entry/edge/catchup_test.go
+++ b/internal/entry/edge/catchup_test.go
@@ -119,22 +119,31 @@
 		})
 	})
 
-	// Guards against a table that never arrives on a small link, because its transfer is
-	// broken off and starts over at another peer.
-	ginkgo.It("lets a reply that is arriving from the followed peer end", func(ctx context.Context) {
+	// receive makes a reply of a followed peer arrive. It returns the peer's address, and
+	// a function that lets the reply end.
+	receive := func(ctx context.Context) (address string, end func()) {
 		rest := make(chan struct{})
-		address := startSlowPeer(behind, rest)
+		address = startSlowPeer(behind, rest)
 		e.store.followAddress = address
 		callCtx, cancel := context.WithCancel(ctx)
-		defer cancel()
+		ginkgo.DeferCleanup(cancel)
 		feed, _ := e.feed(cancel)
 		pulled := make(chan error, 1)
 		go func() { pulled <- e.pull(callCtx, feed, true) }()
 		gomega.Eventually(e.store.peerFeed.Receiving, 5*time.Second).Should(gomega.BeTrue())
+		return address, func() {
+			close(rest)
+			gomega.Eventually(pulled, 5*time.Second).Should(gomega.Receive(gomega.BeNil()))
+		}
+	}
+
+	// Guards against a table that never arrives on a small link, because its transfer is
+	// broken off and starts over at another peer.
+	ginkgo.It("lets a reply that is arriving from the followed peer end", func(ctx context.Context) {
+		address, end := receive(ctx)
 		e.catchUp(ctx, now)
 		e.catchUp(ctx, now.Add(catchUpDelay))
-		close(rest)
-		gomega.Eventually(pulled, 5*time.Second).Should(gomega.Receive(gomega.BeNil()))
+		end()
 		gomega.Expect(e.store.followAddress).To(gomega.Equal(address))
 		gomega.Expect(e.mirror.Position().Revision).To(gomega.Equal(behind))
 	})
@@ -142,19 +151,10 @@
 	// Guards against a table that never arrives on a small link, because the transfer
 	// starts over at another peer whenever the instances of the region change.
 	ginkgo.It("lets a reply that is arriving end before it follows another peer", func(ctx context.Context) {
-		rest := make(chan struct{})
-		address := startSlowPeer(behind, rest)
-		e.store.followAddress = address
-		callCtx, cancel := context.WithCancel(ctx)
-		defer cancel()
-		feed, _ := e.feed(cancel)
-		pulled := make(chan error, 1)
-		go func() { pulled <- e.pull(callCtx, feed, true) }()
-		gomega.Eventually(e.store.peerFeed.Receiving, 5*time.Second).Should(gomega.BeTrue())
+		address, end := receive(ctx)
 		e.updateFollowAddress(now)
 		gomega.Expect(e.store.followAddress).To(gomega.Equal(address))
-		close(rest)
-		gomega.Eventually(pulled, 5*time.Second).Should(gomega.Receive(gomega.BeNil()))
+		end()
 		e.updateFollowAddress(now)
 		gomega.Expect(e.store.followAddress).To(gomega.BeEmpty())
 	})
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -10,7 +10,7 @@
 //
 // Requests never wait for the store, except in the first second of an instance that
 // has no table yet. They wait for a peer, which is another instance, to get a token from
-// a customer's pool or of a target whose rate is limited, for tokenTimeout at most each
+// a customer's pool or of a target whose rate is limited, for TokenTimeout at most each
 // time. An instance that reaches no target relays its requests to a peer that does.
 //
 // # Usage
--- a/internal/entry/edge/edge_pool.go
+++ b/internal/entry/edge/edge_pool.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// tokenTimeout limits the wait for the reply to a token request. It covers the
-	// round trip to another region.
-	tokenTimeout = 150 * time.Millisecond
 	// maxTokenRequests is the maximum number of callers' requests that wait for a token.
 	maxTokenRequests = 512
 	// minPoolBackoff and maxPoolBackoff limit how long no token is requested from a pool
@@ -95,7 +92,7 @@
 	e.tokenReplies[id] = reply
 	e.mu.Unlock()
 	e.sendDatagram(request(id), address)
-	r, replied = await(ctx, reply, tokenTimeout)
+	r, replied = await(ctx, reply, lacewingramp.TokenTimeout)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.tokenReplies, id)
--- a/internal/steer/placement/placement_order.go
+++ b/internal/steer/placement/placement_order.go
@@ -92,9 +92,9 @@
 }
 
 // candidates returns the targets that may serve an object: the first warm ones without a
-// limit, and those ranked above them that are cold, name a limit or have failed a probe. Targets further
-// down have not handled the object lately, and would evict another object from
-// their cache for it.
+// limit, and those ranked above them that are cold, name a limit or have failed a probe.
+// Targets further down have not handled the object lately, and would evict another object
+// from their cache for it.
 func (p *Placer) candidates(now time.Time, all []ranked) []ranked {
 	warm := 0
 	for i, t := range all {
--- a/internal/steer/placement/placement_rate.go
+++ b/internal/steer/placement/placement_rate.go
@@ -30,8 +30,6 @@
 	minTokenRetry  = 50 * time.Millisecond
 	maxTokenRetry  = 2 * time.Second
 	lostTokenRetry = 500 * time.Millisecond
-	// tokenReplyTime is the time that a reply to a request for a token may take.
-	tokenReplyTime = 150 * time.Millisecond
 )
 
 // rateState is the state of a target's rate limit at this instance.
@@ -94,7 +92,7 @@
 	if (owned && p.takeOwnToken(now, t, rate)) || t.takeGranted(now) {
 		return admitted
 	}
-	maxRequested := max(1, rate*tokenReplyTime.Seconds())
+	maxRequested := max(1, rate*lacewingramp.TokenTimeout.Seconds())
 	if owned || !mayRequest || now.Before(t.retryAt) || float64(t.requested) >= maxRequested {
 		return rejected
 	}
--- a/token.go
+++ b/token.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// TokenTimeout limits the wait for a TokenReply. It covers the round trip to another
+// region.
+const TokenTimeout = 150 * time.Millisecond
+
 // TokenRequest requests one token of a customer's limit from the instance that keeps
 // the customer's token pool (internal/limit/pool).
 type TokenRequest struct {
