Check targets of an instance's own domain and region first

An instance that is separated from all other failure domains could take itself for cut off from all targets, although it reaches those of its own domain, and then leave its requests to others. Found by reading; nobody reported it.

Cause: the up to six targets of a check were of domains chosen at random. With 42 domains, the planned size, six in seven checks had none of the own domain.

Change: a check takes targets in turn from the own domain, the rest of the region and other regions, at random within these and of different domains.

--- a/internal/entry/edge/edge_reach.go
+++ b/internal/entry/edge/edge_reach.go
@@ -45,7 +45,7 @@
 	e.reachCheck = done
 	startedAt := e.Timer.Now()
 	e.reach.CheckStarted(startedAt)
-	targets := e.placer.Spread(maxCheckedTargets)
+	targets := e.placer.Spread(e.Domain, maxCheckedTargets)
 	go func() {
 		reached := len(targets) == 0 || e.anyResponds(targets, startedAt)
 		e.mu.Lock()
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -36,7 +36,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"slices"
 	"sort"
 	"time"
@@ -238,28 +237,6 @@
 	return ok && t.Address == chosen.Address && !t.Leaving && !t.addressTaken && !p.evacuated[t.Domain]
 }
 
-// Spread returns up to maxCount targets that may be sent requests, in random order: of as
-// many failure domains as possible.
-func (p *Placer) Spread(maxCount int) []lacewingramp.Target {
-	names := p.Names()
-	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	domains := make(map[string]bool)
-	var spread, others []lacewingramp.Target
-	for _, n := range names {
-		t := p.targets[n]
-		switch {
-		case !p.MayServe(&t.Target):
-		case domains[t.Domain]:
-			others = append(others, t.Target)
-		default:
-			domains[t.Domain] = true
-			spread = append(spread, t.Target)
-		}
-	}
-	spread = append(spread, others...)
-	return spread[:min(maxCount, len(spread))]
-}
-
 // Names returns the names of all targets, sorted.
 func (p *Placer) Names() []string {
 	all := make([]string, 0, len(p.targets))
