Do not send a relayed request again whose instance died

An idempotent request could run more often than its route allows.

Cause: edge-3 was cut off and relayed it to edge-1, which sent it twice (the first target broke the connection) and was killed before it could respond. That counted as one attempt, so that edge-3 relayed it to edge-2, which had one left. The logs show edge-1's first attempt, the lost relay and edge-2's attempt; edge-1's second follows from the targets' count of three.

Ruled out: the instances' own retries (edge-1 and edge-2 kept to what they were told).

Change: a relayed request that may have run is not sent again; the instance that got it may have used all attempts. Its caller gets 502, as for one that is not idempotent. entry/edge's new test fails before (two peers get the request, one may).

--- a/internal/entry/edge/edge_relay.go
+++ b/internal/entry/edge/edge_relay.go
@@ -58,11 +58,9 @@
 		case outcome == lacewingramp.RelayUnavailable || outcome == lacewingramp.RelayUnreachable:
 			continue
 		case outcome == lacewingramp.RelayLost:
-			j.attempts++
+			// The other instance may have used all attempts that were left.
+			j.attempts = j.route.AttemptLimit
 			j.mayHaveRun = true
-			if j.route.Idempotent {
-				continue
-			}
 			return e.finish(ctx, j)
 		case j.mayHaveRun && outcome != lacewingramp.RelayResponded:
 			// What the other instance says holds only of its own attempts.
