Relay: drop a check of attempts that can no longer fail

Since a lost relay ends the request, the attempts do not change in the loop over instances, and the caller of relay has compared them with the limit.

--- a/internal/entry/edge/edge_relay.go
+++ b/internal/entry/edge/edge_relay.go
@@ -47,7 +47,7 @@
 func (e *Edge) relay(ctx context.Context, j *job) *message.Response {
 	j.triedRelays = true
 	for _, p := range e.relays(j) {
-		if ctx.Err() != nil || j.attempts >= j.route.AttemptLimit {
+		if ctx.Err() != nil {
 			break
 		}
 		r := e.relayTo(ctx, j, p)
