--- a/internal/steer/placement/placement_spread.go
+++ b/internal/steer/placement/placement_spread.go
@@ -20,19 +20,14 @@
 // part of the network an instance is separated from, it can reach some of them.
 func (p *Placer) Spread(domain string, maxCount int) (spread []lacewingramp.Target) {
 	groups := p.spreadGroups(domain)
-	for taken := 0; len(spread) < maxCount; taken++ {
-		found := false
+	for taken := range maxCount {
 		for _, g := range groups {
-			if taken < len(g) && len(spread) < maxCount {
+			if taken < len(g) {
 				spread = append(spread, g[taken])
-				found = true
 			}
 		}
-		if !found {
-			break
-		}
 	}
-	return spread
+	return spread[:min(maxCount, len(spread))]
 }
 
 // spreadGroups returns the targets that may be sent requests in the groups that Spread takes
