Let the monitor decide whether targets may be slow

When a check began was kept by the monitor and passed along beside it, and what tells slow targets from lost ones stood in entry/edge. It is in steer/reach now, with a test that needs no network.

--- a/internal/entry/edge/edge_reach.go
+++ b/internal/entry/edge/edge_reach.go
@@ -43,11 +43,10 @@
 	}
 	done := make(chan struct{})
 	e.reachCheck = done
-	startedAt := e.Timer.Now()
-	e.reach.CheckStarted(startedAt)
+	e.reach.CheckStarted(e.Timer.Now())
 	targets := e.placer.Spread(e.Domain, maxCheckedTargets)
 	go func() {
-		reached := len(targets) == 0 || e.anyResponds(targets, startedAt)
+		reached := len(targets) == 0 || e.anyResponds(targets)
 		e.mu.Lock()
 		e.endReachCheck(reached, len(targets))
 		e.mu.Unlock()
@@ -72,9 +71,9 @@
 	e.Log.Info().Dur("after", now.Sub(since)).Msg("reached a target again")
 }
 
-// anyResponds reports whether a target responds on a new connection to a check that began
-// at startedAt. Most checks end with the first target.
-func (e *Edge) anyResponds(targets []lacewingramp.Target, startedAt time.Time) bool {
+// anyResponds reports whether a target responds on a new connection to the check in
+// progress. Most checks end with the first target.
+func (e *Edge) anyResponds(targets []lacewingramp.Target) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), firstCheckTimeout)
 	defer cancel()
 	if e.responds(ctx, targets[0]) {
@@ -95,7 +94,7 @@
 			}
 			ended++
 		case <-timeout:
-			if !e.mayBeSlow(startedAt) {
+			if !e.mayBeSlow() {
 				return false
 			}
 		}
@@ -103,13 +102,11 @@
 	return false
 }
 
-// mayBeSlow reports whether targets that have not responded to a check in time may only be
-// slow: if they still respond on open connections, or if the instance relays its requests
-// anyway, so that there is no hurry.
-func (e *Edge) mayBeSlow(checkStartedAt time.Time) bool {
+// mayBeSlow reports whether the check in progress should wait for slow targets.
+func (e *Edge) mayBeSlow() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.reach.CutOff() || e.reach.RespondedSince(checkStartedAt)
+	return e.reach.MayBeSlow()
 }
 
 // responds reports whether a target responds to a health check on a new connection, with
--- a/internal/steer/reach/reach.go
+++ b/internal/steer/reach/reach.go
@@ -150,6 +150,13 @@
 	m.checkStartedAt = now
 }
 
+// MayBeSlow reports whether targets that have not responded to the check in progress may
+// only be slow: if they have responded to an attempt that was started during the check, or
+// if the instance is cut off already, so that there is no hurry.
+func (m *Monitor) MayBeSlow() bool {
+	return m.CutOff() || m.RespondedSince(m.checkStartedAt)
+}
+
 // CheckEnded records the end of a check and whether a target responded. It reports
 // whether the instance has lost or regained the targets.
 func (m *Monitor) CheckEnded(now time.Time, reached bool) (changed bool) {
--- a/internal/steer/reach/reach_test.go
+++ b/internal/steer/reach/reach_test.go
@@ -76,4 +76,17 @@
 		gomega.Expect(m.CutOff()).To(gomega.BeFalse())
 		gomega.Expect(m.CheckDue(at(9000))).To(gomega.BeFalse())
 	})
+
+	ginkgo.It("waits for slow targets if one has responded since the check began, or if it is cut off", func() {
+		before := m.Start(at(0))
+		m.End(m.Start(at(0)), unconnected)
+		m.CheckStarted(at(5))
+		m.End(before, responded)
+		gomega.Expect(m.MayBeSlow()).To(gomega.BeFalse())
+		m.End(m.Start(at(10)), responded)
+		gomega.Expect(m.MayBeSlow()).To(gomega.BeTrue())
+		m.CheckEnded(at(500), false)
+		m.CheckStarted(at(1000))
+		gomega.Expect(m.MayBeSlow()).To(gomega.BeTrue())
+	})
 })
