Add a failing test for changes when both watchers lose the store in silence

Cause under test: every instance counts as reaching the store until one of its own calls fails. When both watchers and others lose it without an error, instances wait for one after another that has lost it too.

The test drives the decisions of whole fleets on a manual clock.

--- a/internal/entry/edge/edge_catchup.go
+++ b/internal/entry/edge/edge_catchup.go
@@ -21,24 +21,12 @@
 	return e.store.followAddress != "" && e.store.peerFeed != nil && e.store.peerFeed.Receiving()
 }
 
-// catchUp reads the missing changes from a peer that is at a newer revision. It also
-// interrupts the call that waits for changes, because its connection may be dead, and
-// avoids the peer that was followed. It does nothing while a reply of that peer is
-// arriving: the changes are on their way, and another peer would send them from the
-// first byte on.
+// catchUp reads the missing changes from a peer that is at a newer revision.
 func (e *Edge) catchUp(ctx context.Context, now time.Time) {
-	e.mu.Lock()
-	address := e.peers.AheadOf(now, e.mirror.Position(), catchUpDelay)
-	if address == "" || e.store.catchingUp || e.receivesChanges() {
-		e.mu.Unlock()
+	address := e.catchUpFrom(now)
+	if address == "" {
 		return
 	}
-	e.store.catchingUp = true
-	if e.store.followAddress != "" {
-		e.avoidPeer(e.store.followAddress, now.Add(avoidPeerTime))
-	}
-	e.store.interrupt()
-	e.mu.Unlock()
 	go func() {
 		f := &follower.ChangeFeed{Address: address}
 		defer f.Close()
@@ -53,3 +41,23 @@
 			Msg("finished catching up from a peer")
 	}()
 }
+
+// catchUpFrom returns the address of the peer to catch up from, or "" if there is none
+// or a catch-up is in progress. It also interrupts the call that waits for changes,
+// because its connection may be dead, and avoids the peer that was followed. It returns
+// "" while a reply of that peer is arriving: the changes are on their way, and another
+// peer would send them from the first byte on.
+func (e *Edge) catchUpFrom(now time.Time) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	address := e.peers.AheadOf(now, e.mirror.Position(), catchUpDelay)
+	if address == "" || e.store.catchingUp || e.receivesChanges() {
+		return ""
+	}
+	e.store.catchingUp = true
+	if e.store.followAddress != "" {
+		e.avoidPeer(e.store.followAddress, now.Add(avoidPeerTime))
+	}
+	e.store.interrupt()
+	return address
+}
--- /dev/null
+++ b/internal/entry/edge/fleet_test.go
@@ -0,0 +1,289 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/timer/manual"
+)
+
+// The steps and delays of a simulatedFleet. A call to the store that is not answered
+// fails after the same time as a call of the platform's client.
+const (
+	simulationStep   = 10 * time.Millisecond
+	sameRegionDelay  = 2 * time.Millisecond
+	otherRegionDelay = 36 * time.Millisecond
+	unansweredSlack  = 500 * time.Millisecond
+	// catchUpTrips is how many times a catch-up crosses the way to the peer.
+	catchUpTrips = 4
+	// A fleet of more than smallFleet instances has largePerDomain instances with
+	// largeCapacity in each failure domain.
+	smallFleet     = 20
+	largePerDomain = 2
+	largeCapacity  = 20
+)
+
+var simulatedRegions = map[string]string{"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
+
+// simulatedFleet runs the decisions of a fleet's instances on a manual clock: whom to
+// follow, what to report to peers, and when to catch up. It stands in for the calls
+// between them and to the store, each with the delay that it has.
+type simulatedFleet struct {
+	timer     *manual.Timer
+	random    *rand.Rand
+	instances []*simulatedInstance
+	byAddress map[string]*simulatedInstance
+	revision  int64
+	// storeCalls counts the calls to the store other than renewals.
+	storeCalls int
+}
+
+// simulatedInstance is an instance of a simulatedFleet.
+type simulatedInstance struct {
+	*Edge
+	fleet *simulatedFleet
+	// silentFrom is when the store stops to answer this instance, zero for never.
+	silentFrom time.Time
+	nextTick   time.Time
+	nextRenew  time.Time
+	// renewFails is when the renewal that is not answered fails, zero if there is none.
+	renewFails time.Time
+	call       simulatedCall
+	heartbeats []delayedHeartbeat
+	// catchUpEnds is when the catch-up from catchUpPeer ends.
+	catchUpEnds time.Time
+	catchUpPeer *simulatedInstance
+}
+
+// simulatedCall is the call that waits for changes. It starts at its start time, and was
+// interrupted if interrupted is set.
+type simulatedCall struct {
+	address     string
+	start       time.Time
+	interrupted bool
+}
+
+type delayedHeartbeat struct {
+	due       time.Time
+	heartbeat *lacewingramp.Heartbeat
+}
+
+// ignoreChanges decodes each change as one of an unknown kind.
+type ignoreChanges struct{}
+
+func (ignoreChanges) Decode(c lacewingramp.Change) (lacewingramp.StoreEvent, error) {
+	return lacewingramp.StoreEvent{Key: c.Key, Revision: c.Revision}, nil
+}
+
+func newSimulatedFleet(seed uint64, size int) *simulatedFleet {
+	f := &simulatedFleet{
+		timer: manual.New(time.Unix(1_800_000_000, 0)), random: rand.New(rand.NewPCG(seed, uint64(size))),
+		byAddress: make(map[string]*simulatedInstance), revision: 1,
+	}
+	domains := []string{"a1", "b1", "c1", "a2", "b2", "c2"}
+	for i := range size {
+		domain := domains[i%len(domains)]
+		name := fmt.Sprintf("edge-%s-%d", domain, i/len(domains))
+		e := New(
+			Settings{Name: name, Domain: domain, Region: simulatedRegions[domain], Regions: simulatedRegions, Peer: name + ":1"},
+			Dependencies{Timer: f.timer, Log: zerolog.Nop(), EventDecoder: ignoreChanges{}},
+		)
+		if size > smallFleet && i/len(domains) < largePerDomain {
+			e.self.Capacity = largeCapacity
+		}
+		e.mirror.ApplySnapshot(nil, lacewingramp.Position{Revision: f.revision})
+		now := f.timer.Now()
+		s := &simulatedInstance{Edge: e, fleet: f, nextTick: now.Add(f.upTo(250 * time.Millisecond)), nextRenew: now.Add(f.upTo(leaseRenewInterval))}
+		f.instances = append(f.instances, s)
+		f.byAddress[e.Peer] = s
+	}
+	for _, s := range f.instances {
+		for _, p := range f.instances {
+			s.peers.MarkRegistered(f.timer.Now(), p.self)
+		}
+	}
+	return f
+}
+
+// upTo returns a random duration.
+func (f *simulatedFleet) upTo(d time.Duration) time.Duration {
+	return time.Duration(f.random.Int64N(int64(d)))
+}
+
+// silence lets the store fall silent for a random half of the instances, and for those
+// that watch it.
+func (f *simulatedFleet) silence() {
+	left := len(f.instances) / 2
+	for _, watching := range []bool{true, false} {
+		for _, i := range f.random.Perm(len(f.instances)) {
+			s := f.instances[i]
+			if left > 0 && (s.store.followAddress == "") == watching {
+				s.silentFrom = f.timer.Now()
+				left--
+			}
+		}
+	}
+}
+
+// run advances the clock.
+func (f *simulatedFleet) run(d time.Duration) {
+	for end := f.timer.Now().Add(d); f.timer.Now().Before(end); {
+		f.timer.Advance(simulationStep)
+		for _, s := range f.instances {
+			s.step(f.timer.Now())
+		}
+	}
+}
+
+// behind returns the names of the instances that reach the store and are not at its
+// latest revision.
+func (f *simulatedFleet) behind() (names []string) {
+	for _, s := range f.instances {
+		if s.silentFrom.IsZero() && s.mirror.Position().Revision < f.revision {
+			names = append(names, s.Name)
+		}
+	}
+	return names
+}
+
+func (f *simulatedFleet) delay(one, two *simulatedInstance) time.Duration {
+	if one.Region == two.Region {
+		return sameRegionDelay
+	}
+	return otherRegionDelay
+}
+
+// reachesStoreAt reports whether the store answers a call that is sent now.
+func (s *simulatedInstance) reachesStoreAt(now time.Time) bool {
+	return s.silentFrom.IsZero() || now.Before(s.silentFrom)
+}
+
+func (s *simulatedInstance) step(now time.Time) {
+	s.heartbeats = slices.DeleteFunc(s.heartbeats, func(h delayedHeartbeat) bool {
+		if now.Before(h.due) {
+			return false
+		}
+		s.handleHeartbeat(h.heartbeat)
+		return true
+	})
+	s.stepRenewal(now)
+	s.stepCatchUp(now)
+	s.stepCall(now)
+	if !now.Before(s.nextTick) {
+		s.nextTick = s.nextTick.Add(250 * time.Millisecond)
+		s.tickFollowing(now)
+	}
+}
+
+// tickFollowing does the part of a tick that concerns the store's changes.
+func (s *simulatedInstance) tickFollowing(now time.Time) {
+	s.updateFollowAddress(now)
+	own, others := s.peers.NextRound()
+	h := s.newHeartbeat(now)
+	for _, address := range slices.Concat(own, others) {
+		p := s.fleet.byAddress[address]
+		p.heartbeats = append(p.heartbeats, delayedHeartbeat{due: now.Add(s.fleet.delay(s, p)), heartbeat: h})
+	}
+	if address := s.catchUpFrom(now); address != "" {
+		s.catchUpPeer = s.fleet.byAddress[address]
+		s.catchUpEnds = now.Add(catchUpTrips * s.fleet.delay(s, s.catchUpPeer))
+	}
+}
+
+// stepCatchUp ends a catch-up.
+func (s *simulatedInstance) stepCatchUp(now time.Time) {
+	if s.catchUpPeer == nil || now.Before(s.catchUpEnds) {
+		return
+	}
+	s.take(s.catchUpPeer.mirror.Position().Revision)
+	s.catchUpPeer = nil
+	s.store.catchingUp = false
+}
+
+// stepRenewal renews the lease of the registration.
+func (s *simulatedInstance) stepRenewal(now time.Time) {
+	switch {
+	case !s.renewFails.IsZero():
+		if !now.Before(s.renewFails) {
+			s.renewFails = time.Time{}
+			s.nextRenew = now.Add(minStoreBackoff)
+			s.recordStoreCall(lacewingramp.ErrUnknownOutcome)
+		}
+	case now.Before(s.nextRenew):
+	case s.reachesStoreAt(now):
+		s.nextRenew = now.Add(leaseRenewInterval)
+		s.recordStoreCall(nil)
+	default:
+		s.renewFails = now.Add(registerTimeout)
+	}
+}
+
+// stepCall advances the call that waits for changes, or starts the next one.
+func (s *simulatedInstance) stepCall(now time.Time) {
+	c := &s.call
+	if c.start.IsZero() || c.interrupted {
+		feed, address := s.feed(func() { s.call.interrupted = true })
+		if p, ok := feed.(interface{ Close() }); ok {
+			p.Close()
+		}
+		*c = simulatedCall{address: address, start: now}
+		if address == "" {
+			s.fleet.storeCalls++
+		}
+	}
+	if now.Before(c.start) {
+		return
+	}
+	if c.address == "" {
+		s.stepStoreCall(now)
+		return
+	}
+	p := s.fleet.byAddress[c.address]
+	if revision := p.mirror.Position().Revision; revision > s.mirror.Position().Revision && now.Sub(c.start) > s.fleet.delay(s, p) {
+		s.take(revision)
+		c.start = time.Time{}
+	} else if now.Sub(c.start) > peerLongPoll {
+		c.start = time.Time{}
+	}
+}
+
+// stepStoreCall advances a call to the store.
+func (s *simulatedInstance) stepStoreCall(now time.Time) {
+	waited := now.Sub(s.call.start)
+	answered := s.reachesStoreAt(now)
+	switch {
+	case answered && waited > 2*otherRegionDelay && (waited > storeLongPoll || s.fleet.revision > s.mirror.Position().Revision):
+		s.take(s.fleet.revision)
+		s.recordStoreResponse()
+		s.restartStoreCall(now.Add(batchInterval))
+	case !answered && waited > storeLongPoll+unansweredSlack:
+		s.recordStoreFailure(context.DeadlineExceeded)
+		s.restartStoreCall(now.Add(maxStoreBackoff))
+	}
+}
+
+func (s *simulatedInstance) restartStoreCall(at time.Time) {
+	s.call = simulatedCall{start: at}
+	s.fleet.storeCalls++
+}
+
+// take applies the changes up to a revision.
+func (s *simulatedInstance) take(revision int64) {
+	position := lacewingramp.Position{Revision: revision}
+	changes := []lacewingramp.Change{{KeyValue: lacewingramp.KeyValue{Key: "table", Revision: revision}}}
+	s.update(func() []lacewingramp.Change { return s.mirror.Apply(changes, position) })
+}
+
+// expectInForce expects that all instances that reach the store are at its latest
+// revision when a time is over.
+func (f *simulatedFleet) expectInForce(within time.Duration, seed uint64) {
+	f.run(within)
+	gomega.Expect(f.behind()).To(gomega.BeEmpty(), "seed %d, %d instances, %s after the change", seed, len(f.instances), within)
+}
