Send heartbeats to different peers from the first round on

What was seen: in a simulation of 69 and 82 instances that start together, news that go from heartbeat to heartbeat took up to 0.85 s longer to reach all than in one of 10.

Cause: each instance sends to its peers in the order of their addresses, and all began with the first. So all sent to the same eight peers of a region at a time, and each instance got the news of its region once in three rounds, all at the same moment.

Change: an instance begins at a place that its name decides. Messages stay the same in number and form; how long each peer waits for the next one stays the same as well.

The new test failed before: one address got 59 of 480 heartbeats in the first round.

--- a/internal/peer/heartbeat/heartbeat_test.go
+++ b/internal/peer/heartbeat/heartbeat_test.go
@@ -103,6 +103,30 @@
 		}
 	})
 
+	// Guards against news that reach most instances a second late: after a start of the whole
+	// fleet, all instances sent to the same few peers at a time.
+	ginkgo.It("is sent heartbeats evenly by instances that have started together", func() {
+		const size, maxShare = 60, 3
+		received := make(map[string]int)
+		sent := 0
+		for i := range size {
+			p := heartbeat.Peers{Self: fmt.Sprint("edge-", i)}
+			for j := range size {
+				e := endpoint(fmt.Sprint("edge-", j), 1)
+				e.Peer = fmt.Sprintf("10.0.0.%d:1", j)
+				p.MarkRegistered(start, e)
+			}
+			own, others := p.NextRound()
+			for _, address := range append(append([]string(nil), own...), others...) {
+				received[address]++
+				sent++
+			}
+		}
+		for address, count := range received {
+			gomega.Expect(count).To(gomega.BeNumerically("<=", maxShare*sent/size), address)
+		}
+	})
+
 	// Guards against instances that all catch up from the same peer, which can then serve
 	// none of them in time.
 	ginkgo.It("spreads the instances that are behind over those that are ahead", func() {
--- a/internal/peer/heartbeat/peers.go
+++ b/internal/peer/heartbeat/peers.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lacewingramp.example/lacewingramp"
 	"lacewingramp.example/lacewingramp/internal/peer/rendezvous"
 )
@@ -47,10 +49,12 @@
 }
 
 // group is a set of instances that heartbeats are sent to in rotation. last is the
-// index of the address that was sent to last.
+// index of the address that was sent to last. It starts at a place that is different for
+// each instance, as otherwise all instances send to the same few at a time.
 type group struct {
 	addresses []string
 	last      int
+	started   bool
 	// aliveTimeout is the time without a heartbeat after which an instance of the
 	// group no longer counts as alive.
 	aliveTimeout time.Duration
@@ -78,9 +82,13 @@
 
 // setAddresses replaces the group's addresses and derives aliveTimeout from the
 // number of rounds that it takes to send to all of them, perRound at a time.
-func (g *group) setAddresses(addresses []string, perRound int) {
+func (g *group) setAddresses(self string, addresses []string, perRound int) {
 	sort.Strings(addresses)
 	g.addresses = addresses
+	if !g.started && len(addresses) > perRound {
+		g.started = true
+		g.last = int(xxhash.Sum64String(self) % uint64(len(addresses)))
+	}
 	rounds := (len(addresses) + perRound - 1) / perRound
 	g.aliveTimeout = max(minAliveTimeout, time.Duration(aliveCycles*rounds)*Period)
 }
@@ -215,8 +223,8 @@
 			all[g] = append(all[g], m.Peer)
 		}
 	}
-	p.groups[sameRegion].setAddresses(all[sameRegion], maxSameRegionPeers)
-	p.groups[otherRegions].setAddresses(all[otherRegions], maxOtherRegionPeers)
+	p.groups[sameRegion].setAddresses(p.Self, all[sameRegion], maxSameRegionPeers)
+	p.groups[otherRegions].setAddresses(p.Self, all[otherRegions], maxOtherRegionPeers)
 }
 
 // Registered returns the names of the other instances that the store lists.
