Send no order on a connection on which its target has refused a request

Cause: a faulty target writes an earlier refusal once more on a kept connection. If the refusal bears the ID of the request, as one of the same request does, or no ID, it was taken for the response to the request that was being run.

Change: a connection on which a refusal came carries no further request that is not idempotent. On a connection on which the target sends IDs, a response without one belongs to no request. A connection on which the target has sent a response too many is closed after the request. Nothing else can be told from a true refusal, so a new connection is the price: one for each order that was refused before.

Ruled out: only comparing IDs (the refused order may come again with its ID); trusting no refusal on kept connections (orders refused by a full target would end in 502).

--- a/internal/call/exchange/exchange.go
+++ b/internal/call/exchange/exchange.go
@@ -126,7 +126,7 @@
 		}
 		return result
 	}
-	if result.Response == nil || result.Response.Close || conn.reader.Buffered() > 0 {
+	if result.Response == nil || result.Response.Close || conn.reader.Buffered() > 0 || conn.sentExtra || (conn.refused && req.NonIdempotent) {
 		_ = conn.Close()
 		return result
 	}
@@ -180,7 +180,13 @@
 			return result
 		}
 		headers := c.HeaderCodec.ResponseHeaders(resp.Status, resp.Header)
+		if headers.ID == "" && conn.sendsIDs && req.ID != "" {
+			result.Err = errors.New("the target sent a response without an ID")
+			return result
+		}
+		conn.record(headers)
 		if headers.ID != "" && headers.ID != req.ID {
+			conn.sentExtra = true
 			if resp.Close {
 				result.Err = errors.New("the target closed the connection after a response to another request")
 				return result
@@ -199,12 +205,17 @@
 
 func withResponse(result Result, resp *message.Response, headers lacewingramp.ResponseHeaders) Result {
 	result.Response, result.ResponseHeaders, result.Verdict = resp, headers, lacewingramp.Ran
-	if headers.NotRun || headers.WrongTarget {
+	if isRefusal(headers) {
 		result.Verdict = lacewingramp.NotRun
 	}
 	return result
 }
 
+// isRefusal reports whether a response says that the request has not run.
+func isRefusal(h lacewingramp.ResponseHeaders) bool {
+	return h.NotRun || h.WrongTarget
+}
+
 // brokenByTarget reports whether a read error means that the target closed or
 // reset the connection.
 func brokenByTarget(err error) bool {
--- a/internal/call/exchange/idle.go
+++ b/internal/call/exchange/idle.go
@@ -2,9 +2,11 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"time"
 
+	"lacewingramp.example/lacewingramp"
 	"lacewingramp.example/lacewingramp/internal/call/message"
 )
 
@@ -14,6 +16,25 @@
 	reader   *message.Reader
 	lastUsed time.Time
 	maxIdle  time.Duration
+	// refused says that the target has refused a request on the connection, sendsIDs that
+	// its responses bear the ID of their request, and sentExtra that it has sent a response
+	// to an earlier request once more or too late.
+	refused   bool
+	sendsIDs  bool
+	sentExtra bool
+}
+
+// record records what the headers of a response reveal.
+func (c *connection) record(h lacewingramp.ResponseHeaders) {
+	c.refused = c.refused || isRefusal(h)
+	c.sendsIDs = c.sendsIDs || h.ID != ""
+}
+
+// carries reports whether the connection may carry another request. One that is not
+// idempotent may be lost on a connection that is dead, and a repeated refusal would be
+// taken for the response to it.
+func (c *connection) carries(nonIdempotent bool) bool {
+	return !nonIdempotent || !c.refused && time.Since(c.lastUsed) <= nonIdempotentMaxIdle
 }
 
 // idlePool holds the idle connections by address, the most recently used last.
@@ -22,8 +43,9 @@
 	byAddress map[string][]*connection
 }
 
-// get returns the most recently used connection that can be reused, or nil. It
-// closes those that cannot.
+// get returns the most recently used connection that can be reused, or nil. It closes
+// those that no request can use. Those that may not carry a request that is not
+// idempotent stay for others.
 func (p *idlePool) get(address string, nonIdempotent bool) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -31,16 +53,13 @@
 	if !ok {
 		return nil
 	}
-	for len(list) > 0 {
-		conn := list[len(list)-1]
-		idleFor := time.Since(conn.lastUsed)
-		if nonIdempotent && idleFor > nonIdempotentMaxIdle && idleFor <= conn.maxIdle {
-			// The connection may be dead. It stays in the pool for idempotent
-			// requests, which can be retried.
-			break
+	for i := len(list) - 1; i >= 0; i-- {
+		conn := list[i]
+		if !conn.carries(nonIdempotent) {
+			continue
 		}
-		list = list[:len(list)-1]
-		if idleFor <= conn.maxIdle && openWithoutInput(conn.Conn) {
+		list = slices.Delete(list, i, i+1)
+		if time.Since(conn.lastUsed) <= conn.maxIdle && openWithoutInput(conn.Conn) {
 			p.byAddress[address] = list
 			return conn
 		}
