--- a/internal/call/exchange/exchange_test.go
+++ b/internal/call/exchange/exchange_test.go
@@ -110,6 +110,8 @@
 		ginkgo.Entry("sheds the request", "HTTP/1.1 503 X\r\nId: 1\r\nShed: 1\r\nContent-Length: 0\r\n\r\n", lacewingramp.NotRun),
 		ginkgo.Entry("says that the address belongs to another target", "HTTP/1.1 421 X\r\nElsewhere: 1\r\nContent-Length: 0\r\n\r\n", lacewingramp.NotRun),
 		ginkgo.Entry("closes the connection without a response", "", lacewingramp.MayHaveRun),
+		ginkgo.Entry("closes the connection in the head", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Le", lacewingramp.MayHaveRun),
+		ginkgo.Entry("closes the connection after a line of the head", "HTTP/1.1 200 OK\r\nId: 1\r\n", lacewingramp.MayHaveRun),
 		ginkgo.Entry("closes the connection in the body", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nhalf", lacewingramp.MayHaveRun),
 		ginkgo.Entry("sends something other than HTTP", "garbage garbage garbage\r\n\r\n", lacewingramp.MayHaveRun),
 		ginkgo.Entry("responds to another request", response2, lacewingramp.MayHaveRun),
