--- a/internal/entry/edge/edge_events.go
+++ b/internal/entry/edge/edge_events.go
@@ -14,7 +14,9 @@
 	for _, c := range changes {
 		event, err := e.EventDecoder.Decode(c)
 		if err != nil {
-			e.Log.Warn().Err(err).Str("key", c.Key).Int64("revision", c.Revision).Msg("ignored a key that cannot be decoded")
+			if e.loglimit.Allow(now, "undecodable") {
+				e.Log.Warn().Err(err).Str("key", c.Key).Int64("revision", c.Revision).Msg("ignored a key that cannot be decoded")
+			}
 			e.removeUndecodableTarget(now, c)
 			continue
 		}
