Test changes behind a cut between failure domains

The same class as two watchers without the store: an instance waits for a peer from which it is cut off, and hears of nobody who has the change. Each instance reaches the store here.

--- a/internal/entry/edge/fleet_test.go
+++ b/internal/entry/edge/fleet_test.go
@@ -53,6 +53,8 @@
 	storeCalls int
 	// checks counts the checks of the store by instances that follow a peer.
 	checks int
+	// cutOff holds the failure domain that is cut off from all others, "" for none.
+	cutOff string
 }
 
 // simulatedInstance is an instance of a simulatedFleet.
@@ -176,6 +178,11 @@
 	return otherRegionDelay
 }
 
+// connected reports whether messages between two instances arrive.
+func (f *simulatedFleet) connected(one, two *simulatedInstance) bool {
+	return (one.Domain == f.cutOff) == (two.Domain == f.cutOff)
+}
+
 // reachesStoreAt reports whether the store answers a call that is sent now.
 func (s *simulatedInstance) reachesStoreAt(now time.Time) bool {
 	return s.silentFrom.IsZero() || now.Before(s.silentFrom)
@@ -209,6 +216,9 @@
 	}
 	for _, address := range slices.Concat(own, others) {
 		p := s.fleet.byAddress[address]
+		if !s.fleet.connected(s, p) {
+			continue
+		}
 		p.heartbeats = append(p.heartbeats, delayedHeartbeat{due: now.Add(s.fleet.delay(s, p)), heartbeat: h})
 	}
 	if address := s.catchUpFrom(now); address != "" {
@@ -245,7 +255,9 @@
 	if s.catchUpPeer == nil || now.Before(s.catchUpEnds) {
 		return
 	}
-	s.take(s.catchUpPeer.mirror.Position().Revision)
+	if s.fleet.connected(s, s.catchUpPeer) {
+		s.take(s.catchUpPeer.mirror.Position().Revision)
+	}
 	s.catchUpPeer = nil
 	s.store.catchingUp = false
 }
@@ -286,7 +298,8 @@
 		return
 	}
 	p := s.fleet.byAddress[c.address]
-	if revision := p.mirror.Position().Revision; revision > s.mirror.Position().Revision && now.Sub(c.start) > s.fleet.delay(s, p) {
+	arrives := s.fleet.connected(s, p) && now.Sub(c.start) > s.fleet.delay(s, p)
+	if revision := p.mirror.Position().Revision; arrives && revision > s.mirror.Position().Revision {
 		s.take(revision)
 		c.start = time.Time{}
 	} else if now.Sub(c.start) > peerLongPoll {
@@ -338,6 +351,17 @@
 	return f.behind()
 }
 
+// changeBehindCut cuts a failure domain off from all others, and lets the store, which all
+// instances reach, change. It returns the instances that do not have the change in time.
+func (f *simulatedFleet) changeBehindCut(within time.Duration) []string {
+	f.run(settleTime + f.upTo(time.Second))
+	f.cutOff = f.instances[f.random.IntN(len(f.instances))].Domain
+	f.run(f.upTo(maxSilenceBeforeChange))
+	f.revision++
+	f.run(within)
+	return f.behind()
+}
+
 // expectForSeeds expects that check returns no instance for any seed. It runs several
 // checks at a time.
 func expectForSeeds(seeds uint64, check func(seed uint64) []string) {
--- a/internal/entry/edge/silent_test.go
+++ b/internal/entry/edge/silent_test.go
@@ -27,6 +27,19 @@
 		ginkgo.Entry("with 82 instances and 3 s", 82, 3*time.Second),
 	)
 
+	// Guards against instances that wait for a peer from which they are cut off, and hear of
+	// nobody who has the change.
+	ginkgo.DescribeTable("reaches every instance, although a failure domain has just been cut off from all others",
+		func(size int, bound time.Duration) {
+			expectForSeeds(seeds, func(seed uint64) []string {
+				return newSimulatedFleet(seed, size).changeBehindCut(bound)
+			})
+		},
+		ginkgo.Entry("with 8 instances and 2 s", 8, 2*time.Second),
+		ginkgo.Entry("with 10 instances and 2 s", 10, 2*time.Second),
+		ginkgo.Entry("with 69 instances and 3 s", 69, 3*time.Second),
+	)
+
 	// Guards against the same while instances are replaced by those of a new program.
 	ginkgo.It("reaches them as well while only a part of the fleet passes on when the store has responded", func() {
 		const size, bound = 69, 3 * time.Second
