--- a/internal/entry/edge/fakes_test.go
+++ b/internal/entry/edge/fakes_test.go
@@ -69,8 +69,8 @@
 	return keyValues, position, nil
 }
 
-func (s *store) Changes(ctx context.Context, after lacewingramp.Position, _ time.Duration) ([]lacewingramp.Change, lacewingramp.Position, error) {
-	for ctx.Err() == nil {
+func (s *store) Changes(ctx context.Context, after lacewingramp.Position, wait time.Duration) ([]lacewingramp.Change, lacewingramp.Position, error) {
+	for end := time.Now().Add(wait); ctx.Err() == nil; {
 		if s.down.Load() {
 			return nil, after, lacewingramp.ErrUnreachable
 		}
@@ -80,7 +80,7 @@
 		if !ok {
 			return nil, after, lacewingramp.ErrCompacted
 		}
-		if len(all) > 0 {
+		if len(all) > 0 || !time.Now().Before(end) {
 			return all, position, nil
 		}
 		time.Sleep(time.Millisecond)
