--- a/internal/entry/instance/instance_digest.go
+++ b/internal/entry/instance/instance_digest.go
@@ -151,7 +151,7 @@
 		available = append(available, m.Digest.Endpoint)
 		addLoads(totals, m.Digest.Domain, m.Digest.Capacities)
 	}
-	i.State.Resolver.Instances(available)
+	i.State.Resolver.SetInstances(available)
 	loads := make([]resolver.Load, 0, len(totals))
 	for _, l := range totals {
 		loads = append(loads, *l)
--- a/internal/proof/slope/measure.go
+++ b/internal/proof/slope/measure.go
@@ -210,7 +210,7 @@
 	}
 	r := resolver.NewResolver("d00")
 	r.Configure(t)
-	r.Instances(instances)
+	r.SetInstances(instances)
 	q := resolver.Query{Service: "s", Customer: "customer", Caller: "customer/10.0.0.1", Domain: "d01"}
 	return nsPerCall(func() { r.Answer(q) })
 }
--- a/internal/steer/resolver/resolver_test.go
+++ b/internal/steer/resolver/resolver_test.go
@@ -37,7 +37,7 @@
 			all = append(all, lacewingramp.Endpoint{Name: fmt.Sprintf("%s-%d", d.Name, i), Domain: d.Name})
 		}
 	}
-	r.Instances(all)
+	r.SetInstances(all)
 	return r
 }
 
@@ -75,7 +75,7 @@
 		gomega.Expect(a.Instances()[0].Domain).To(gomega.Equal("uy1"))
 		gomega.Expect(a.Instances()[2].Domain).To(gomega.Equal("uy2"))
 		gomega.Expect(r.DomainsByDistance("uy1")).To(gomega.Equal([]string{"uy1", "uy2", "cu1", "cl1"}))
-		r.Instances([]lacewingramp.Endpoint{{Name: "a", Domain: "uy1", Leaving: true}, {Name: "b", Domain: "cu1"}})
+		r.SetInstances([]lacewingramp.Endpoint{{Name: "a", Domain: "uy1", Leaving: true}, {Name: "b", Domain: "cu1"}})
 		a = r.Answer(Query{Service: "s", Domain: "uy1"})
 		gomega.Expect(a.Instances()).To(gomega.HaveLen(1))
 		gomega.Expect(a.Instances()[0].Name).To(gomega.Equal("b"))
@@ -153,7 +153,7 @@
 	if used > 128<<20 {
 		b.Errorf("%d blocks take %d MB", blocks, used>>20)
 	}
-	r.Instances([]lacewingramp.Endpoint{{Name: "a", Domain: "uy1"}, {Name: "b", Domain: "uy2"}, {Name: "c", Domain: "cu1"}, {Name: "d", Domain: "cl1"}})
+	r.SetInstances([]lacewingramp.Endpoint{{Name: "a", Domain: "uy1"}, {Name: "b", Domain: "uy2"}, {Name: "c", Domain: "cu1"}, {Name: "d", Domain: "cl1"}})
 	b.ReportAllocs()
 	b.ResetTimer()
 	i := 0
