Keep confirmations in heartbeats small

Cause: a confirmation named its origin by name and start, and its age in nanoseconds: some 60 bytes in each of 1,300 heartbeats a second.

Change: the origin and its start are one hash of 32 bits, the age is in milliseconds.

--- a/internal/config/freshness/freshness.go
+++ b/internal/config/freshness/freshness.go
@@ -9,7 +9,7 @@
 // # Usage
 //
 //	var t freshness.Tracker
-//	t.Record(confirmation, now.Add(-confirmation.Age), mirror.Position())
+//	t.Record(confirmation, now.Add(-confirmation.Age()), mirror.Position())
 //	t.Advance(mirror.Position()) // after each change of the mirror
 //	stale := now.Sub(t.Complete().At) > limit
 package freshness
@@ -23,7 +23,7 @@
 // retention is how long it is remembered which response of an instance was the latest.
 const retention = time.Minute
 
-// Confirmation is a confirmation with the time of the response. Its Age is not used.
+// Confirmation is a confirmation with the time of the response. Its AgeMillis is not used.
 type Confirmation struct {
 	lacewingramp.Confirmation
 	At time.Time
@@ -33,7 +33,7 @@
 // for concurrent use.
 type Tracker struct {
 	// byOrigin holds the latest confirmation of each origin.
-	byOrigin map[string]Confirmation
+	byOrigin map[uint32]Confirmation
 	latest   Confirmation
 	// complete is the latest confirmation whose position the copy has reached.
 	complete Confirmation
@@ -64,7 +64,7 @@
 // remembers it.
 func (t *Tracker) isNew(c Confirmation) bool {
 	known, ok := t.byOrigin[c.Origin]
-	if ok && (c.StartMillis < known.StartMillis || c.StartMillis == known.StartMillis && c.Count <= known.Count) {
+	if ok && c.Count <= known.Count {
 		return false
 	}
 	if !ok {
@@ -77,7 +77,7 @@
 // forget removes the confirmations of origins that have none since a time.
 func (t *Tracker) forget(since time.Time) {
 	if t.byOrigin == nil {
-		t.byOrigin = make(map[string]Confirmation)
+		t.byOrigin = make(map[uint32]Confirmation)
 	}
 	for origin, c := range t.byOrigin {
 		if c.At.Before(since) {
--- a/internal/entry/edge/edge_fresh.go
+++ b/internal/entry/edge/edge_confirm.go
@@ -13,9 +13,9 @@
 // An instance that follows a peer cannot tell a store without changes from a path to the
 // store that is broken somewhere between them. So all instances pass on when the store
 // last responded to one of them, and up to which position. An instance that has not
-// reached such a position for maxUnconfirmed reads from the store itself, at the same
-// time as all others that are in doubt. None has to wait until another one has found out
-// that it cannot reach the store.
+// reached such a position for maxUnconfirmed reads from the store itself, and so do all
+// others in its place. None has to wait until another one has found out that it cannot
+// reach the store.
 const (
 	// maxUnconfirmed is how long the mirror is used without a confirmation that it is
 	// complete. It is longer than a long poll of the store and the rounds of heartbeats
@@ -40,7 +40,7 @@
 func (e *Edge) addConfirmation(position lacewingramp.Position, at time.Time) {
 	e.store.confirmations++
 	e.store.freshness.Record(lacewingramp.Confirmation{
-		Origin: e.Name, StartMillis: e.self.StartMillis, Count: e.store.confirmations,
+		Origin: lacewingramp.ConfirmationOrigin(&e.self), Count: e.store.confirmations,
 		Revision: position.Revision, Epoch: position.Epoch,
 	}, at, e.mirror.Position())
 }
@@ -53,7 +53,7 @@
 		return nil
 	}
 	c := latest.Confirmation
-	c.Age = max(0, now.Sub(latest.At))
+	c.AgeMillis = max(0, now.Sub(latest.At).Milliseconds())
 	return &c
 }
 
@@ -62,12 +62,23 @@
 // peer in its place. The caller must hold e.mu.
 func (e *Edge) recordConfirmation(now time.Time, h *lacewingramp.Heartbeat) {
 	if c := h.Confirmation; c != nil {
-		e.store.freshness.Record(*c, now.Add(-c.Age), e.mirror.Position())
+		e.store.freshness.Record(*c, now.Add(-c.Age()), e.mirror.Position())
 	} else if h.WatchesStore {
 		e.addConfirmation(h.Position(), now.Add(-impliedAge))
 	}
 }
 
+// originName returns the name of the instance that is the origin of a confirmation, "" if
+// it is not alive. The caller must hold e.mu.
+func (e *Edge) originName(now time.Time, origin uint32) string {
+	for _, p := range append(e.peers.Alive(now), e.self) {
+		if lacewingramp.ConfirmationOrigin(&p) == origin {
+			return p.Name
+		}
+	}
+	return ""
+}
+
 // unconfirmed returns how long ago the mirror was last known to be complete. The caller
 // must hold e.mu.
 func (e *Edge) unconfirmed(now time.Time) time.Duration {
@@ -110,7 +121,7 @@
 	e.store.checking, e.store.checkedAt = true, now
 	latest := e.store.freshness.Latest()
 	e.Log.Warn().Dur("unconfirmed", unconfirmed).Int64("revision", e.mirror.Position().Revision).
-		Int64("confirmed", latest.Revision).Dur("age", now.Sub(latest.At)).Str("origin", latest.Origin).Str("from", e.store.followAddress).
+		Int64("confirmed", latest.Revision).Dur("age", now.Sub(latest.At)).Str("origin", e.originName(now, latest.Origin)).Str("from", e.store.followAddress).
 		Msg("reading from the store, as the followed peer may have lost it")
 	return true
 }
