Send nothing new to a target that says in a response that it is leaving

Change: the word of a target in a response, a health check's included, is a fact on one incarnation of it (steer/placement). It takes no further request and its objects move as for a registered drain; what runs there goes on. Its registration, older or newer, does not take it back, also after it expired and came again; a new start under the same name begins without it. Peers are told by heartbeat, at most eight targets each, as with crash counts, and the instance that relayed the request by a header of the relay, which is never taken from a target. A field that is missing says nothing, so that earlier programs go on.

Odd values say nothing and are logged, as the word cannot be taken back; a 1 among several values counts.

Weighed: treating any text as leaving (a mistake would cost the target until its next start); a store record (a write for each target, and nothing while the store is away).

--- a/call.go
+++ b/call.go
@@ -33,7 +33,9 @@
 // WarmupRemaining is for how much longer the target is slow because it started
 // recently. RateLimit is the maximum rate at which the target accepts requests from all
 // instances together, in requests per second, nil if it names none or if
-// InvalidRateLimit is set, which says that the value cannot be used.
+// InvalidRateLimit is set, which says that the value cannot be used. Leaving is set if the
+// target says that it is leaving, and InvalidLeaving if it says something of this that
+// cannot be understood, which counts as nothing.
 type ResponseHeaders struct {
 	ID              string
 	Target          string
@@ -44,6 +46,9 @@
 
 	RateLimit        *float64
 	InvalidRateLimit bool
+
+	Leaving        bool
+	InvalidLeaving bool
 }
 
 // TargetLoad is the load that a target reports: the number of requests that it runs
--- a/heartbeat.go
+++ b/heartbeat.go
@@ -32,6 +32,8 @@
 	// Confirmation is the latest response of the store that the instance knows of, its own
 	// or a peer's, nil if it knows of none.
 	Confirmation *Confirmation `cbor:"14,keyasint,omitempty"`
+	// LeavingTargets is a selection if there are too many for one datagram.
+	LeavingTargets []LeavingTarget `cbor:"15,keyasint,omitempty"`
 }
 
 // Position returns the position in the store's history up to which the instance has read.
@@ -49,5 +51,10 @@
 			return err
 		}
 	}
+	for i := range h.LeavingTargets {
+		if err := h.LeavingTargets[i].Check(); err != nil {
+			return err
+		}
+	}
 	return h.Endpoint.Check()
 }
--- a/internal/entry/edge/cut_test.go
+++ b/internal/entry/edge/cut_test.go
@@ -169,6 +169,26 @@
 		gomega.Expect(d.runs() - before).To(gomega.Equal(int32(1)))
 	})
 
+	// Guards against a target that no instance uses any more because another target says
+	// that it is leaving, with the header by which instances tell each other.
+	ginkgo.It("takes no word of another target's leaving from a target", func() {
+		startInstances("a", "a")
+		d.cutOff(0)
+		d.mode(modeForge)
+		runs := func() int32 {
+			before := d.targets[1].runs.Load()
+			for i := range 40 {
+				gomega.Expect(d.request(0, "/read/1", "andes-key", fmt.Sprint(i)).status).To(gomega.Equal(http.StatusOK))
+			}
+			return d.targets[1].runs.Load() - before
+		}
+		gomega.Expect(runs()).To(gomega.BeNumerically(">", 0))
+		d.dialers[0].set(cutNone)
+		d.stops[1]()
+		gomega.Eventually(func() bool { return d.edges[0].CutOff() }, 10*time.Second).Should(gomega.BeFalse())
+		gomega.Expect(runs()).To(gomega.BeNumerically(">", 0))
+	})
+
 	ginkgo.It("relays within a customer's limit, and passes on the refusals of a peer", func() {
 		startInstances("a", "a")
 		const rate, burst, slack = 20.0, 10.0, 2.0
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -123,6 +123,9 @@
 	// reports whether the reply granted the token, and is false if there was no reply in
 	// time.
 	TokenReply(granted bool)
+	// TargetLeaving counts a target of which this instance learned that it is leaving,
+	// and whether a peer told it.
+	TargetLeaving(byPeer bool)
 	// StoreCheck counts a check of the store by an instance that follows a peer, and whether
 	// the store answered.
 	StoreCheck(answered bool)
--- a/internal/entry/edge/edge_admit.go
+++ b/internal/entry/edge/edge_admit.go
@@ -52,6 +52,9 @@
 	// triedRelays once this one has tried to relay it.
 	relayed     bool
 	triedRelays bool
+	// leaving is the last target of the request that has said that it is leaving, nil if
+	// none has.
+	leaving *lacewingramp.LeavingTarget
 	// mayHaveRun is set once a target may have started to run the request.
 	mayHaveRun bool
 	// fallback is the error response of a target, relayed if no other target sends a
--- a/internal/entry/edge/edge_heartbeat.go
+++ b/internal/entry/edge/edge_heartbeat.go
@@ -78,7 +78,7 @@
 		Endpoint: self, Ready: e.Ready(), Revision: e.mirror.Position().Revision, Epoch: e.mirror.Position().Epoch,
 		ReachesStore: !e.store.lost, WatchesStore: e.watches(now), CutOff: e.reach.CutOff(), RequestRate: float32(e.requestRate),
 		CrashCounts: e.poisonGuard.HeartbeatCounts(now), RolloutStats: e.rollouts.RolloutStats(), Outcomes: e.rollouts.Outcomes(),
-		Confirmation: e.latestConfirmation(now),
+		Confirmation: e.latestConfirmation(now), LeavingTargets: e.placer.LeavingTargets(now),
 	}
 }
 
@@ -126,6 +126,9 @@
 		return
 	}
 	e.recordConfirmation(now, h)
+	for _, l := range h.LeavingTargets {
+		e.markLeaving(now, l, "", h.Endpoint.Name)
+	}
 	e.handleDemand(h)
 	e.poisonGuard.Merge(now, h.CrashCounts)
 	e.rollouts.Record(h.RolloutStats, h.Outcomes)
--- a/internal/entry/edge/edge_probe.go
+++ b/internal/entry/edge/edge_probe.go
@@ -62,6 +62,7 @@
 func (e *Edge) probe(t *lacewingramp.Target) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
+	incarnation := e.incarnation(t.Name)
 	var r exchange.Result
 	if path := e.healthPath(t.Service); path != "" {
 		r = e.client.Do(ctx, exchange.TargetRequest{
@@ -73,6 +74,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.probes, t.Name)
+	if ok && r.ResponseHeaders.Leaving {
+		e.markLeaving(e.Timer.Now(), incarnation, "", "")
+	}
 	if ok {
 		e.placer.RecordProbe(e.Timer.Now(), placement.Report{Target: t.Name, WarmupRemaining: r.ResponseHeaders.WarmupRemaining, TargetLoad: r.ResponseHeaders.TargetLoad})
 	} else {
--- a/internal/entry/edge/edge_reach.go
+++ b/internal/entry/edge/edge_reach.go
@@ -117,10 +117,16 @@
 	if path == "" {
 		return e.accepts(ctx, t.Address)
 	}
+	incarnation := e.incarnation(t.Name)
 	r := e.client.Do(ctx, exchange.TargetRequest{
 		Address: t.Address, NewConnection: true,
 		Request: &message.Request{Method: http.MethodGet, URI: path, Host: t.Address},
 	})
+	if r.ResponseHeaders.Leaving && r.ResponseHeaders.Target == t.Name {
+		e.mu.Lock()
+		e.markLeaving(e.Timer.Now(), incarnation, "", "")
+		e.mu.Unlock()
+	}
 	return r.Response != nil
 }
 
--- a/internal/entry/edge/edge_relay.go
+++ b/internal/entry/edge/edge_relay.go
@@ -19,9 +19,12 @@
 
 // Headers between instances, in canonical form. headerRelayed holds a RelayedRequest as
 // JSON, and headerRelayOutcome a RelayOutcome, which every response to one has.
+// headerRelayLeaving holds a LeavingTarget as JSON, if the target of the request has said
+// that it is leaving.
 const (
 	headerRelayed      = "Lacewingramp-Relayed"
 	headerRelayOutcome = "Lacewingramp-Relay-Outcome"
+	headerRelayLeaving = "Lacewingramp-Relay-Leaving"
 )
 
 // maxRelays is the number of instances that a request is relayed to, one after the other,
@@ -106,9 +109,11 @@
 	h := maps.Clone(j.request.Header)
 	message.RemoveHopByHopHeaders(h)
 	h[headerRelayed] = []string{string(value)}
-	return e.relayClient.Do(ctx, exchange.TargetRequest{
+	r := e.relayClient.Do(ctx, exchange.TargetRequest{
 		Address: p.Relay, Request: j.request, Header: h, ID: j.headers.ID, NonIdempotent: !j.route.Idempotent,
 	})
+	e.recordRelayLeaving(j, p.Name, r.Response)
+	return r
 }
 
 // relayOutcome returns the outcome of a relayed request.
@@ -135,8 +140,16 @@
 // setRelayOutcome tells the instance that has relayed a request the outcome. It replaces
 // what a target's response says of one.
 func (j *job) setRelayOutcome(resp *message.Response, outcome lacewingramp.RelayOutcome) {
-	if j.relayed {
-		resp.Header[headerRelayOutcome] = []string{outcome.String()}
+	if !j.relayed {
+		return
+	}
+	resp.Header[headerRelayOutcome] = []string{outcome.String()}
+	delete(resp.Header, headerRelayLeaving)
+	if j.leaving == nil {
+		return
+	}
+	if value, err := json.Marshal(j.leaving); err == nil {
+		resp.Header[headerRelayLeaving] = []string{string(value)}
 	}
 }
 
--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -178,6 +178,7 @@
 		RateLimit: r.ResponseHeaders.RateLimit, InvalidRateLimit: r.ResponseHeaders.InvalidRateLimit,
 	})
 	e.logLimit(j.headers.ID, target.Name, limit)
+	e.recordLeaving(now, j, a.choice, r.ResponseHeaders)
 	if ran {
 		e.rollouts.Observe(j.route.Name, j.service, target.Version, failed, a.rolloutLatency())
 	}
--- a/internal/entry/edge/fakes_test.go
+++ b/internal/entry/edge/fakes_test.go
@@ -169,7 +169,8 @@
 }
 
 func (codec) ResponseHeaders(_ int, h http.Header) lacewingramp.ResponseHeaders {
-	return lacewingramp.ResponseHeaders{ID: h.Get("Id"), NotRun: h.Get("Shed") != ""}
+	leaving := h.Get("Leaving")
+	return lacewingramp.ResponseHeaders{ID: h.Get("Id"), NotRun: h.Get("Shed") != "", Leaving: leaving == "1", InvalidLeaving: leaving != "" && leaving != "1"}
 }
 
 func (codec) SetRetryAfter(h http.Header, after time.Duration) {
@@ -186,6 +187,8 @@
 	mode atomic.Value
 	runs atomic.Int32
 	stop chan struct{}
+	// leaving is what the target says of whether it is leaving, "" for nothing.
+	leaving atomic.Value
 	// cutOff counts the connections that the caller closed in modeEndless.
 	cutOff atomic.Int32
 }
@@ -206,6 +209,9 @@
 func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Id", r.Header.Get("Id"))
 	mode, _ := t.mode.Load().(string)
+	if leaving, _ := t.leaving.Load().(string); leaving != "" {
+		w.Header().Set("Leaving", leaving)
+	}
 	if mode == modeShed {
 		w.Header().Set("Shed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -226,6 +232,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 	case modeForge:
 		w.Header().Set("Lacewingramp-Relay-Outcome", lacewingramp.RelayUnavailable.String())
+		w.Header().Set("Lacewingramp-Relay-Leaving", `{"target":"`+forgedLeaving+`","start":1}`)
 	case modeSilence:
 		select {
 		case <-r.Context().Done():
@@ -248,10 +255,15 @@
 	t.cutOff.Add(1)
 }
 
+// forgedLeaving is the target that others report to be leaving in modeForge.
+const forgedLeaving = "t1"
+
 // deployment is a store, targets and instances on loopback addresses.
 type deployment struct {
 	store   *store
 	targets []*target
+	// addresses are those of the targets.
+	addresses []string
 	// domains are the failure domains of the first instances. Those of others are "a".
 	domains         []string
 	edges           []*edge.Edge
@@ -303,6 +315,7 @@
 			s.Close()
 		})
 		d.targets = append(d.targets, t)
+		d.addresses = append(d.addresses, s.Listener.Addr().String())
 		d.store.put("target/"+t.name, d.registration(i, s.Listener.Addr().String()))
 	}
 	return d
--- a/internal/report/meter/meter.go
+++ b/internal/report/meter/meter.go
@@ -72,6 +72,16 @@
 	m.set.GetOrCreateCounter(`lacewingramp_target_tokens_total{outcome="` + outcome.String() + `"}`).Inc()
 }
 
+// TargetLeaving counts a target of which this instance learned that it is leaving, and
+// whether a peer told it.
+func (m *Meter) TargetLeaving(byPeer bool) {
+	source := "target"
+	if byPeer {
+		source = "peer"
+	}
+	m.set.GetOrCreateCounter(`lacewingramp_leaving_targets_total{source="` + source + `"}`).Inc()
+}
+
 // StoreCheck counts a check of the store by an instance that follows a peer, and whether
 // the store answered.
 func (m *Meter) StoreCheck(answered bool) {
--- a/internal/report/meter/meter_test.go
+++ b/internal/report/meter/meter_test.go
@@ -21,6 +21,7 @@
 		m.StoreCall("/watch", time.Second, nil)
 		m.TokenReply(true)
 		m.TargetToken(lacewingramp.TokenGranted)
+		m.TargetLeaving(true)
 		m.StoreCheck(true)
 		m.Unconfirmed(time.Second)
 		m.Relayed(lacewingramp.RelayResponded)
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -63,8 +63,8 @@
 
 // Choice is the result of Placer.Choose. If Target is nil, Full tells whether there
 // are usable targets, all of them full, or none at all. RankingPosition is the
-// target's index, from 0, in the order in which Choose tried the targets. WarmingUp
-// says that the target is cold. NeedsProbe says that the request has not been counted
+// target's index, from 0, in the order in which Choose tried the targets. StartMillis is
+// that of the target's registration. WarmingUp says that the target is cold. NeedsProbe says that the request has not been counted
 // as in flight yet: the caller must probe the target, to learn whether it is cold,
 // and then call Choose again. NeedsToken says the same of a token: the caller must
 // request it from the owner of the target's rate, call RecordToken with the reply, and
@@ -73,6 +73,7 @@
 	Target          *lacewingramp.Target
 	Full            bool
 	RankingPosition int
+	StartMillis     int64
 	WarmingUp       bool
 	NeedsProbe      bool
 	NeedsToken      bool
@@ -119,9 +120,13 @@
 	evacuated map[string]bool
 	// moves maps each object that was moved away from its highest-ranked target to
 	// the name of the target that it was moved to, the second-ranked one at the time.
-	moves        map[objectKey]string
-	instances    []lacewingramp.Endpoint
-	maxInstances int
+	moves map[objectKey]string
+	// departures holds the targets that have said that they are leaving, by name.
+	// departureRotation is the position of the one that was last sent in rotation.
+	departures        map[string]departure
+	departureRotation int
+	instances         []lacewingramp.Endpoint
+	maxInstances      int
 	// instanceVersion counts the changes of instances.
 	instanceVersion int
 }
@@ -153,6 +158,7 @@
 	if p.targets == nil {
 		p.targets = make(map[string]*target)
 	}
+	p.endDeparture(r.Name, r.StartMillis)
 	t, ok := p.targets[r.Name]
 	if ok && (t.StartMillis != r.StartMillis || t.Address != r.Address || t.Service != r.Service) {
 		oldAddress = t.Address
@@ -234,7 +240,7 @@
 // request.
 func (p *Placer) MayServe(chosen *lacewingramp.Target) bool {
 	t, ok := p.targets[chosen.Name]
-	return ok && t.Address == chosen.Address && !t.Leaving && !t.addressTaken && !p.evacuated[t.Domain]
+	return ok && t.Address == chosen.Address && !p.leaving(t) && !t.addressTaken && !p.evacuated[t.Domain]
 }
 
 // Names returns the names of all targets, sorted.
@@ -302,7 +308,7 @@
 // of returns the choice with a copy of a target.
 func (c Choice) of(t *target) Choice {
 	chosen := t.Target
-	c.Target = &chosen
+	c.Target, c.StartMillis = &chosen, t.StartMillis
 	return c
 }
 
--- a/internal/steer/placement/placement_order.go
+++ b/internal/steer/placement/placement_order.go
@@ -25,7 +25,7 @@
 
 // usable reports whether a target may be sent the query's request at all.
 func (p *Placer) usable(now time.Time, t *target, q *Query) bool {
-	if t.Leaving || t.addressTaken || p.evacuated[t.Domain] || now.Before(t.suspendedUntil) {
+	if p.leaving(t) || t.addressTaken || p.evacuated[t.Domain] || now.Before(t.suspendedUntil) {
 		return false
 	}
 	if q.Version != "" && t.Version != q.Version {
