Send nothing to a target in the time for which it has refused requests

What was seen on (the issue): one of nine targets refused with 503 and a time of 5 s, and got 28 to 30 requests from one instance in that time; all nine: 68.

Change: the time holds for the instance that was told and the target's incarnation, for all ways to the target: first tries, retries, requests that wait for a connection, relayed requests; checks of the way to targets leave it out. It is bounded by five minutes, and the longest of several counts. Instances return at different times, up to a quarter of the pause and two seconds later, with one request at a time until one has run; a target that refuses again is asked once. If all targets of a service are paused, a request is refused at once, with the time to the end of the first pause and a random part, as callers that return before would come in vain.

Odd values (negative, dates, text) say nothing and are logged; zero says nothing.

Weighed: telling the fleet (the time is for the instance that is told); holding requests until the pause ends (they can come back, and a slot elsewhere may be free sooner).

--- a/call.go
+++ b/call.go
@@ -35,7 +35,9 @@
 // instances together, in requests per second, nil if it names none or if
 // InvalidRateLimit is set, which says that the value cannot be used. Leaving is set if the
 // target says that it is leaving, and InvalidLeaving if it says something of this that
-// cannot be understood, which counts as nothing.
+// cannot be understood, which counts as nothing. RetryAfter is for how long a target that
+// refuses the request wants no other one, 0 if it does not say, and InvalidRetryAfter says
+// that it cannot be understood.
 type ResponseHeaders struct {
 	ID              string
 	Target          string
@@ -49,6 +51,9 @@
 
 	Leaving        bool
 	InvalidLeaving bool
+
+	RetryAfter        time.Duration
+	InvalidRetryAfter bool
 }
 
 // TargetLoad is the load that a target reports: the number of requests that it runs
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -126,6 +126,8 @@
 	// TargetLeaving counts a target of which this instance learned that it is leaving,
 	// and whether a peer told it.
 	TargetLeaving(byPeer bool)
+	// TargetPause counts a refusal of a target that asks for a pause.
+	TargetPause()
 	// StoreCheck counts a check of the store by an instance that follows a peer, and whether
 	// the store answered.
 	StoreCheck(answered bool)
--- a/internal/entry/edge/edge_admit.go
+++ b/internal/entry/edge/edge_admit.go
@@ -61,6 +61,9 @@
 	// better one.
 	fallback *message.Response
 	allFull  bool
+	// pauseLeft is the time to the end of the first pause of a target, if no other target
+	// could be chosen.
+	pauseLeft time.Duration
 }
 
 func (j *job) customerName() string {
--- a/internal/entry/edge/edge_reach.go
+++ b/internal/entry/edge/edge_reach.go
@@ -44,7 +44,7 @@
 	done := make(chan struct{})
 	e.reachCheck = done
 	e.reach.CheckStarted(e.Timer.Now())
-	targets := e.placer.Spread(e.Domain, maxCheckedTargets)
+	targets := e.placer.Spread(e.Timer.Now(), e.Domain, maxCheckedTargets)
 	go func() {
 		reached := len(targets) == 0 || e.anyResponds(targets)
 		e.mu.Lock()
--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -98,7 +98,7 @@
 		choice = e.placer.Choose(now, q)
 	}
 	if choice.Target == nil {
-		j.allFull = choice.Full
+		j.allFull, j.pauseLeft = choice.Full, choice.RetryAfter
 		return choice, false
 	}
 	if choice.NeedsProbe || choice.NeedsToken {
@@ -151,7 +151,7 @@
 func (e *Edge) mayServe(t *lacewingramp.Target) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.placer.MayServe(t)
+	return e.placer.MayServe(e.Timer.Now(), t)
 }
 
 // crashed reports whether a target accepts no new connection after one broke.
@@ -173,10 +173,12 @@
 	failed := ran && (r.Response == nil || r.Response.Status >= http.StatusInternalServerError)
 	limit := e.placer.Limit(target.Name)
 	e.placer.Done(now, placement.Report{
-		Target: target.Name, SentAt: a.sentAt, Ran: r.Verdict == lacewingramp.Ran, Unreachable: r.Unreachable || a.crashed, Failed: failed,
+		Target: target.Name, StartMillis: a.choice.StartMillis, SentAt: a.sentAt, Ran: r.Verdict == lacewingramp.Ran, Unreachable: r.Unreachable || a.crashed, Failed: failed,
 		Shed: r.ResponseHeaders.NotRun, AddressTaken: r.ResponseHeaders.WrongTarget, TargetLoad: r.ResponseHeaders.TargetLoad, WarmupRemaining: r.ResponseHeaders.WarmupRemaining,
 		RateLimit: r.ResponseHeaders.RateLimit, InvalidRateLimit: r.ResponseHeaders.InvalidRateLimit,
+		RetryAfter: r.ResponseHeaders.RetryAfter,
 	})
+	e.logPause(now, j, target, r.ResponseHeaders)
 	e.logLimit(j.headers.ID, target.Name, limit)
 	e.recordLeaving(now, j, a.choice, r.ResponseHeaders)
 	if ran {
@@ -269,6 +271,9 @@
 		return e.fail(j, http.StatusBadGateway, lacewingramp.CauseTarget, "no whole answer")
 	}
 	e.refundQuota(j)
+	if !j.allFull && j.pauseLeft > 0 {
+		return e.refuse(j, http.StatusServiceUnavailable, lacewingramp.CauseSlots, j.pauseLeft+fullRetryAfter(), "all targets have asked for a pause")
+	}
 	cause, detail := lacewingramp.CauseTarget, "no target could be reached"
 	if j.failedConnects < maxFailedConnects && (j.allFull || j.attempts > 0) {
 		cause, detail = lacewingramp.CauseSlots, "all targets are full"
--- a/internal/entry/edge/fakes_test.go
+++ b/internal/entry/edge/fakes_test.go
@@ -170,7 +170,16 @@
 
 func (codec) ResponseHeaders(_ int, h http.Header) lacewingramp.ResponseHeaders {
 	leaving := h.Get("Leaving")
-	return lacewingramp.ResponseHeaders{ID: h.Get("Id"), NotRun: h.Get("Shed") != "", Leaving: leaving == "1", InvalidLeaving: leaving != "" && leaving != "1"}
+	return lacewingramp.ResponseHeaders{ID: h.Get("Id"), NotRun: h.Get("Shed") != "", Leaving: leaving == "1", InvalidLeaving: leaving != "" && leaving != "1", RetryAfter: readPause(h.Get("Pause"))}
+}
+
+// readPause reads the pause that a target asks for, in seconds.
+func readPause(text string) time.Duration {
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
 }
 
 func (codec) SetRetryAfter(h http.Header, after time.Duration) {
@@ -189,6 +198,10 @@
 	stop chan struct{}
 	// leaving is what the target says of whether it is leaving, "" for nothing.
 	leaving atomic.Value
+	// pause is the pause that the target asks for when it refuses a request, in seconds,
+	// "" for none. refusals counts the requests that it refused.
+	pause    atomic.Value
+	refusals atomic.Int32
 	// cutOff counts the connections that the caller closed in modeEndless.
 	cutOff atomic.Int32
 }
@@ -214,6 +227,10 @@
 	}
 	if mode == modeShed {
 		w.Header().Set("Shed", "1")
+		t.refusals.Add(1)
+		if pause, _ := t.pause.Load().(string); pause != "" {
+			w.Header().Set("Pause", pause)
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/entry/edge/restore_test.go
+++ b/internal/entry/edge/restore_test.go
@@ -130,7 +130,7 @@
 // mayServe reports whether the instance would send a request to a target.
 func (h *history) mayServe(name string) bool {
 	r, ok := h.edge.placer.Registration(name)
-	return ok && h.edge.placer.MayServe(&r.Target)
+	return ok && h.edge.placer.MayServe(h.edge.Timer.Now(), &r.Target)
 }
 
 func (h *history) expectServing(when string, want map[string]bool) {
--- a/internal/report/meter/meter.go
+++ b/internal/report/meter/meter.go
@@ -82,6 +82,11 @@
 	m.set.GetOrCreateCounter(`lacewingramp_leaving_targets_total{source="` + source + `"}`).Inc()
 }
 
+// TargetPause counts a refusal of a target that asks for a pause.
+func (m *Meter) TargetPause() {
+	m.set.GetOrCreateCounter("lacewingramp_target_pauses_total").Inc()
+}
+
 // StoreCheck counts a check of the store by an instance that follows a peer, and whether
 // the store answered.
 func (m *Meter) StoreCheck(answered bool) {
--- a/internal/report/meter/meter_test.go
+++ b/internal/report/meter/meter_test.go
@@ -22,6 +22,7 @@
 		m.TokenReply(true)
 		m.TargetToken(lacewingramp.TokenGranted)
 		m.TargetLeaving(true)
+		m.TargetPause()
 		m.StoreCheck(true)
 		m.Unconfirmed(time.Second)
 		m.Relayed(lacewingramp.RelayResponded)
--- a/internal/steer/placement/leave_test.go
+++ b/internal/steer/placement/leave_test.go
@@ -34,7 +34,7 @@
 	ginkgo.It("gets nothing new, and the others serve its objects", func() {
 		before := p.Choose(start, query("1"))
 		gomega.Expect(p.MarkLeaving(start, lacewingramp.LeavingTarget{Target: before.Target.Name, StartMillis: before.StartMillis})).To(gomega.BeTrue())
-		gomega.Expect(p.MayServe(before.Target)).To(gomega.BeFalse())
+		gomega.Expect(p.MayServe(start, before.Target)).To(gomega.BeFalse())
 		gomega.Expect(chosen()).NotTo(gomega.HaveKey(before.Target.Name))
 		p.Done(start, placement.Report{Target: before.Target.Name, Ran: true})
 		gomega.Expect(p.MarkLeaving(start, lacewingramp.LeavingTarget{Target: before.Target.Name, StartMillis: before.StartMillis})).To(gomega.BeFalse())
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -64,7 +64,8 @@
 // Choice is the result of Placer.Choose. If Target is nil, Full tells whether there
 // are usable targets, all of them full, or none at all. RankingPosition is the
 // target's index, from 0, in the order in which Choose tried the targets. StartMillis is
-// that of the target's registration. WarmingUp says that the target is cold. NeedsProbe says that the request has not been counted
+// that of the target's registration. RetryAfter is the time to the end of the first pause
+// of a target, if no other one is usable. WarmingUp says that the target is cold. NeedsProbe says that the request has not been counted
 // as in flight yet: the caller must probe the target, to learn whether it is cold,
 // and then call Choose again. NeedsToken says the same of a token: the caller must
 // request it from the owner of the target's rate, call RecordToken with the reply, and
@@ -74,6 +75,7 @@
 	Full            bool
 	RankingPosition int
 	StartMillis     int64
+	RetryAfter      time.Duration
 	WarmingUp       bool
 	NeedsProbe      bool
 	NeedsToken      bool
@@ -81,9 +83,11 @@
 
 // Report describes the outcome of a request on a target. TargetLoad is the load that
 // the target reported, nil if none, and WarmupRemaining is how long it says that it
-// stays cold. RateLimit and InvalidRateLimit are those of the ResponseHeaders.
+// stays cold. RateLimit, InvalidRateLimit and RetryAfter are those of the ResponseHeaders.
 type Report struct {
 	Target string
+	// StartMillis is that of the Choice.
+	StartMillis int64
 	// SentAt is when the request was sent, and Ran says that the target ran it and
 	// responded.
 	SentAt time.Time
@@ -101,6 +105,7 @@
 
 	RateLimit        *float64
 	InvalidRateLimit bool
+	RetryAfter       time.Duration
 }
 
 // Placer tracks the targets of all services. The zero value has no targets.
@@ -123,7 +128,9 @@
 	moves map[objectKey]string
 	// departures holds the targets that have said that they are leaving, by name.
 	// departureRotation is the position of the one that was last sent in rotation.
-	departures        map[string]departure
+	departures map[string]departure
+	// pauses holds the pauses of targets, by name.
+	pauses            map[string]pause
 	departureRotation int
 	instances         []lacewingramp.Endpoint
 	maxInstances      int
@@ -238,9 +245,9 @@
 
 // MayServe reports whether a target that was chosen earlier may still be sent a
 // request.
-func (p *Placer) MayServe(chosen *lacewingramp.Target) bool {
+func (p *Placer) MayServe(now time.Time, chosen *lacewingramp.Target) bool {
 	t, ok := p.targets[chosen.Name]
-	return ok && t.Address == chosen.Address && !p.leaving(t) && !t.addressTaken && !p.evacuated[t.Domain]
+	return ok && t.Address == chosen.Address && !p.leaving(t) && !t.addressTaken && !p.evacuated[t.Domain] && !p.paused(now, t)
 }
 
 // Names returns the names of all targets, sorted.
@@ -259,7 +266,7 @@
 func (p *Placer) Choose(now time.Time, q Query) Choice {
 	all := p.order(now, &q)
 	if len(all) == 0 {
-		return Choice{}
+		return p.whyNone(now, &q)
 	}
 	all = p.candidates(now, all)
 	p.applyMoves(now, &q, all)
@@ -333,6 +340,9 @@
 	}
 	t.setCold(now, r.WarmupRemaining)
 	t.recordLimit(now, r)
+	if r.StartMillis == t.StartMillis && !r.AddressTaken {
+		p.recordPause(now, t, r)
+	}
 	if r.Shed {
 		t.load.Running, t.load.Waiting = t.Slots, t.Slots
 		t.loadAt, t.inflightAtLoad = now, t.inflight
--- a/internal/steer/placement/placement_order.go
+++ b/internal/steer/placement/placement_order.go
@@ -23,8 +23,16 @@
 // first and of all further targets in an object's ranking.
 var maxUtilizationByRank = [...]float64{2.0, 1.5}
 
-// usable reports whether a target may be sent the query's request at all.
+// usable reports whether a target may be sent the query's request now.
 func (p *Placer) usable(now time.Time, t *target, q *Query) bool {
+	if p.paused(now, t) || (t.inflight > 0 && p.onTrial(now, t)) {
+		return false
+	}
+	return p.eligible(now, t, q)
+}
+
+// eligible reports whether a target may be sent the query's request, but for a pause.
+func (p *Placer) eligible(now time.Time, t *target, q *Query) bool {
 	if p.leaving(t) || t.addressTaken || p.evacuated[t.Domain] || now.Before(t.suspendedUntil) {
 		return false
 	}
--- a/internal/steer/placement/placement_spread.go
+++ b/internal/steer/placement/placement_spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"lacewingramp.example/lacewingramp"
 )
@@ -18,8 +19,8 @@
 // domain, one of the others in the instance's region and one of other regions, as long as
 // there are any, each time at random and of a domain that has none among them yet. Whatever
 // part of the network an instance is separated from, it can reach some of them.
-func (p *Placer) Spread(domain string, maxCount int) (spread []lacewingramp.Target) {
-	groups := p.spreadGroups(domain)
+func (p *Placer) Spread(now time.Time, domain string, maxCount int) (spread []lacewingramp.Target) {
+	groups := p.spreadGroups(now, domain)
 	for taken := range maxCount {
 		for _, g := range groups {
 			if taken < len(g) {
@@ -32,14 +33,14 @@
 
 // spreadGroups returns the targets that may be sent requests in the groups that Spread takes
 // from, each in the order to take them.
-func (p *Placer) spreadGroups(domain string) (groups [spreadGroups][]lacewingramp.Target) {
+func (p *Placer) spreadGroups(now time.Time, domain string) (groups [spreadGroups][]lacewingramp.Target) {
 	names := p.Names()
 	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
 	for _, n := range names {
 		t := p.targets[n]
 		group := otherRegions
 		switch {
-		case !p.MayServe(&t.Target):
+		case !p.MayServe(now, &t.Target):
 			continue
 		case t.Domain == domain:
 			group = ownDomain
--- a/internal/steer/placement/placement_test.go
+++ b/internal/steer/placement/placement_test.go
@@ -147,17 +147,17 @@
 	ginkgo.It("returns a target that may be used until it leaves, is removed or is in an evacuated domain", func() {
 		p := newPlacer("one", 12, 3)
 		c := p.Choose(start, query("17"))
-		gomega.Expect(p.MayServe(c.Target)).To(gomega.BeTrue())
+		gomega.Expect(p.MayServe(start, c.Target)).To(gomega.BeTrue())
 		p.Evacuate(start, c.Target.Domain, true)
-		gomega.Expect(p.MayServe(c.Target)).To(gomega.BeFalse())
+		gomega.Expect(p.MayServe(start, c.Target)).To(gomega.BeFalse())
 		p.Evacuate(start, c.Target.Domain, false)
-		gomega.Expect(p.MayServe(c.Target)).To(gomega.BeTrue())
+		gomega.Expect(p.MayServe(start, c.Target)).To(gomega.BeTrue())
 		r := lacewingramp.TargetRegistration{Target: *c.Target, StartMillis: 1}
 		r.Leaving = true
 		p.Update(start, r)
-		gomega.Expect(p.MayServe(c.Target)).To(gomega.BeFalse())
+		gomega.Expect(p.MayServe(start, c.Target)).To(gomega.BeFalse())
 		p.Remove(c.Target.Name)
-		gomega.Expect(p.MayServe(c.Target)).To(gomega.BeFalse())
+		gomega.Expect(p.MayServe(start, c.Target)).To(gomega.BeFalse())
 	})
 
 	ginkgo.It("suspends an unreachable target for twice as long after each failure", func() {
--- a/internal/steer/placement/spread_test.go
+++ b/internal/steer/placement/spread_test.go
@@ -43,7 +43,7 @@
 
 	ginkgo.It("begin in its failure domain, and are also in its region and in others", func() {
 		for range 50 {
-			spread := p.Spread("domain-0", maxCount)
+			spread := p.Spread(start, "domain-0", maxCount)
 			gomega.Expect(spread).To(gomega.HaveLen(maxCount))
 			gomega.Expect(spread[0].Domain).To(gomega.Equal("domain-0"))
 			for _, matches := range []func(string) bool{isOwn, isHome, isFar} {
@@ -55,7 +55,7 @@
 	ginkgo.It("are of other domains if its own has none that may be sent requests", func() {
 		p.Evacuate(start, "domain-0", true)
 		for range 50 {
-			spread := p.Spread("domain-0", maxCount)
+			spread := p.Spread(start, "domain-0", maxCount)
 			gomega.Expect(spread).To(gomega.HaveLen(maxCount))
 			gomega.Expect(count(spread, isOwn)).To(gomega.BeZero())
 			gomega.Expect(count(spread, isHome)).To(gomega.Equal(maxCount / 2))
@@ -64,8 +64,8 @@
 
 	ginkgo.It("are all that there are if they are few", func() {
 		one := &placement.Placer{Regions: map[string]string{"a": "north"}, HomeRegion: "north"}
-		gomega.Expect(one.Spread("a", maxCount)).To(gomega.BeEmpty())
+		gomega.Expect(one.Spread(start, "a", maxCount)).To(gomega.BeEmpty())
 		one.Update(start, registration(0, "a", 3))
-		gomega.Expect(one.Spread("a", maxCount)).To(gomega.HaveLen(1))
+		gomega.Expect(one.Spread(start, "a", maxCount)).To(gomega.HaveLen(1))
 	})
 })
