Select what heartbeats carry in one place

Crash counts and leaving targets were both cut to what one heartbeat carries by the same loop: the first ones always, the others in turn. No change of behaviour. Comments of placement and of the platform's headers are wrapped, and name pauses.

--- a/internal/call/poison/poison.go
+++ b/internal/call/poison/poison.go
@@ -26,6 +26,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/peer/rotation"
 )
 
 // Limits of the crash counts.
@@ -61,8 +62,8 @@
 
 	counters map[uint64]*counter
 	running  map[uint64]int
-	// rotation is the position of the crash count that was last sent in rotation.
-	rotation int
+	// rotation selects the crash counts of the next heartbeat.
+	rotation rotation.Rotation
 }
 
 // counter holds the crash counts of one fingerprint by instance. lastChange is when
@@ -196,13 +197,7 @@
 		return all
 	}
 	sort.SliceStable(all, func(i, j int) bool { return g.counters[all[i].Fingerprint].outranks(g.counters[all[j].Fingerprint]) })
-	selected := all[:topCounts:topCounts]
-	others := all[topCounts:]
-	for range rotatedCounts {
-		g.rotation = (g.rotation + 1) % len(others)
-		selected = append(selected, others[g.rotation])
-	}
-	return selected
+	return rotation.Select(&g.rotation, all, topCounts, rotatedCounts)
 }
 
 // Merge adopts the crash counts in a peer's heartbeat or digest where they are higher
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -12,7 +12,8 @@
 // them owns it, and the others request a token from it for each request. An instance that
 // has just started does not know the owner of a cold target's rate yet and uses an equal
 // share of it. A target that could not be reached is suspended for a while and treated
-// as cold afterwards.
+// as cold afterwards. One that refuses a request may ask for a pause, and one that says
+// that it is leaving gets nothing new.
 //
 // # Usage
 //
@@ -22,7 +23,8 @@
 //	choice := p.Choose(now, placement.Query{Service: "recipes", Object: "17"})
 //	switch {
 //	case choice.Target == nil:
-//		// Refuse. choice.Full tells whether there are usable targets, all full.
+//		// Refuse. choice.Full tells whether there are usable targets, all full, and
+//		// choice.RetryAfter when the first one ends its pause if all others pause.
 //	case choice.NeedsProbe:
 //		// Probe the target to learn whether it is cold, then choose again.
 //	case choice.NeedsToken:
@@ -43,6 +45,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/peer/rotation"
 )
 
 // Query describes a request that needs a target. An empty Version allows every
@@ -65,11 +68,12 @@
 // are usable targets, all of them full, or none at all. RankingPosition is the
 // target's index, from 0, in the order in which Choose tried the targets. StartMillis is
 // that of the target's registration. RetryAfter is the time to the end of the first pause
-// of a target, if no other one is usable. WarmingUp says that the target is cold. NeedsProbe says that the request has not been counted
-// as in flight yet: the caller must probe the target, to learn whether it is cold,
-// and then call Choose again. NeedsToken says the same of a token: the caller must
-// request it from the owner of the target's rate, call RecordToken with the reply, and
-// then call Choose again.
+// of a target, if no other one is usable. WarmingUp says that the target is cold.
+//
+// NeedsProbe says that the request has not been counted as in flight yet: the caller must
+// probe the target, to learn whether it is cold, and then call Choose again. NeedsToken
+// says the same of a token: the caller must request it from the owner of the target's
+// rate, call RecordToken with the reply, and then call Choose again.
 type Choice struct {
 	Target          *lacewingramp.Target
 	Full            bool
@@ -127,13 +131,13 @@
 	// the name of the target that it was moved to, the second-ranked one at the time.
 	moves map[objectKey]string
 	// departures holds the targets that have said that they are leaving, by name.
-	// departureRotation is the position of the one that was last sent in rotation.
-	departures map[string]departure
+	// departureRotation selects those of the next heartbeat.
+	departures        map[string]departure
+	departureRotation rotation.Rotation
 	// pauses holds the pauses of targets, by name.
-	pauses            map[string]pause
-	departureRotation int
-	instances         []lacewingramp.Endpoint
-	maxInstances      int
+	pauses       map[string]pause
+	instances    []lacewingramp.Endpoint
+	maxInstances int
 	// instanceVersion counts the changes of instances.
 	instanceVersion int
 }
--- a/internal/steer/placement/placement_leave.go
+++ b/internal/steer/placement/placement_leave.go
@@ -1,11 +1,11 @@
 package placement
 
 import (
-	"slices"
 	"sort"
 	"time"
 
 	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/peer/rotation"
 )
 
 // A target that is leaving may say so in its responses, before its registration does or
@@ -80,24 +80,10 @@
 		a, b := p.departures[names[i]].learnedAt, p.departures[names[j]].learnedAt
 		return a.After(b) || a.Equal(b) && names[i] < names[j]
 	})
-	names = p.selectDepartures(names)
+	names = rotation.Select(&p.departureRotation, names, newestDepartures, rotatedDepartures)
 	list := make([]lacewingramp.LeavingTarget, 0, len(names))
 	for _, name := range names {
 		list = append(list, lacewingramp.LeavingTarget{Target: name, StartMillis: p.departures[name].startMillis})
 	}
 	return list
 }
-
-// selectDepartures returns the first names, and some of the others in rotation.
-func (p *Placer) selectDepartures(names []string) []string {
-	if len(names) <= newestDepartures+rotatedDepartures {
-		return names
-	}
-	selected := slices.Clone(names[:newestDepartures])
-	others := names[newestDepartures:]
-	for range rotatedDepartures {
-		p.departureRotation = (p.departureRotation + 1) % len(others)
-		selected = append(selected, others[p.departureRotation])
-	}
-	return selected
-}
