Read from the store also while a reply of the followed peer takes long

While bytes of a peer's reply arrive, an instance neither catches up elsewhere nor, until now, read from the store; such a reply may take up to 20 s. Not at once, as the store would send a table once more over the same small link.

The new test ("reads from the store if the reply that is arriving takes long") fails with the guard as it was.

--- a/internal/entry/edge/catchup_test.go
+++ b/internal/entry/edge/catchup_test.go
@@ -14,6 +14,7 @@
 	"lacewingramp.example/lacewingramp"
 	"lacewingramp.example/lacewingramp/internal/config/mirror"
 	"lacewingramp.example/lacewingramp/internal/peer/follower"
+	"lacewingramp.example/lacewingramp/internal/report/meter"
 	"lacewingramp.example/lacewingramp/internal/timer/wall"
 )
 
@@ -113,7 +114,7 @@
 	now := time.Now()
 	ginkgo.BeforeEach(func() {
 		e = New(Settings{Name: "self", Domain: "a", Region: "north", Regions: map[string]string{"a": "north"}},
-			Dependencies{Timer: wall.Timer{}, Log: zerolog.Nop()})
+			Dependencies{Timer: wall.Timer{}, Log: zerolog.Nop(), Meter: meter.New()})
 		e.peers.Record(now, &lacewingramp.Heartbeat{
 			Endpoint: lacewingramp.Endpoint{Name: "other", Domain: "a", Peer: "127.0.0.1:1"}, Revision: ahead,
 		})
@@ -159,6 +160,17 @@
 		gomega.Expect(e.store.followAddress).To(gomega.BeEmpty())
 	})
 
+	// Guards against an old table that stays in force while a slow peer sends the next one:
+	// for up to twenty seconds nothing else was tried as long as bytes arrived.
+	ginkgo.It("reads from the store if the reply that is arriving takes long", func(ctx context.Context) {
+		_, end := receive(ctx)
+		limit := e.startedAt.Add(maxUnconfirmed + e.checkDelay(now))
+		gomega.Expect(e.beginStoreCheck(limit)).To(gomega.BeFalse())
+		gomega.Expect(e.beginStoreCheck(limit.Add(slowReplyTime))).To(gomega.BeTrue())
+		e.store.checking = false
+		end()
+	})
+
 	ginkgo.It("leaves a followed peer that sends nothing", func(ctx context.Context) {
 		e.store.followAddress = "127.0.0.1:1"
 		interrupted := false
--- a/internal/entry/edge/edge_confirm.go
+++ b/internal/entry/edge/edge_confirm.go
@@ -21,6 +21,9 @@
 	// complete. It is longer than a long poll of the store and the rounds of heartbeats
 	// that bring the confirmation to all instances.
 	maxUnconfirmed = 1400 * time.Millisecond
+	// slowReplyTime is how much longer it is used while a reply of the followed peer is
+	// arriving: the changes are on their way, and the store would send them once more.
+	slowReplyTime = 800 * time.Millisecond
 	// maxChecksPerSecond limits the checks of all instances together, to a small part of
 	// what the store answers.
 	maxChecksPerSecond = 1000
@@ -108,14 +111,16 @@
 }
 
 // beginStoreCheck reports whether a check of the store is due, and records its start.
-// While a reply of the followed peer is arriving, the changes are on their way.
 func (e *Edge) beginStoreCheck(now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	unconfirmed := e.unconfirmed(now)
 	e.Meter.Unconfirmed(unconfirmed)
 	limit := maxUnconfirmed + e.checkDelay(now)
-	if e.store.followAddress == "" || e.store.checking || e.receivesChanges() || unconfirmed < limit || now.Sub(e.store.checkedAt) < limit {
+	if e.receivesChanges() {
+		limit += slowReplyTime
+	}
+	if e.store.followAddress == "" || e.store.checking || unconfirmed < limit || now.Sub(e.store.checkedAt) < limit {
 		return false
 	}
 	e.store.checking, e.store.checkedAt = true, now
