--- a/internal/entry/edge/catchup_test.go
+++ b/internal/entry/edge/catchup_test.go
@@ -40,6 +40,28 @@
 	return l.Addr().String()
 }
 
+// queryWait is the number of the field of a query that holds how long the peer may wait.
+const queryWait = 3
+
+// startSilentPeer starts a peer that replies to no query, and returns the queries.
+func startSilentPeer() (address string, queries <-chan map[int]any) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(l.Close)
+	received := make(chan map[int]any, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		var query map[int]any
+		if err := cbor.NewDecoder(c).Decode(&query); err == nil {
+			received <- query
+		}
+	}()
+	return l.Addr().String(), received
+}
+
 // emptySource is the source of a peer that has just started.
 type emptySource struct{}
 
@@ -104,7 +126,7 @@
 
 	// Guards against the same loop while this instance has no keys either.
 	ginkgo.It("does not take the peer's state for a snapshot", func(ctx context.Context) {
-		gomega.Expect(e.pull(ctx, peerSource(&follower.ChangeFeed{Address: address}), true)).To(gomega.MatchError(errPeerEmpty))
+		gomega.Expect(e.pull(ctx, peerSource(&follower.ChangeFeed{Address: address}, peerLongPoll), true)).To(gomega.MatchError(errPeerEmpty))
 	})
 })
 
@@ -160,6 +182,21 @@
 		gomega.Expect(e.store.followAddress).To(gomega.BeEmpty())
 	})
 
+	// Guards against an instance that waits six seconds for a peer that is frozen, and catches
+	// up from no other meanwhile.
+	ginkgo.It("gives the peer that it catches up from no time to wait for changes", func(ctx context.Context) {
+		address, queries := startSilentPeer()
+		e.peers.Record(now, &lacewingramp.Heartbeat{
+			Endpoint: lacewingramp.Endpoint{Name: "other", Domain: "a", Peer: address, StartMillis: 1}, Revision: ahead,
+		})
+		e.mirror.ApplySnapshot(nil, lacewingramp.Position{Revision: behind})
+		e.catchUp(ctx, now)
+		e.catchUp(ctx, now.Add(catchUpDelay))
+		var query map[int]any
+		gomega.Eventually(queries, 5*time.Second).Should(gomega.Receive(&query))
+		gomega.Expect(query).NotTo(gomega.HaveKey(queryWait))
+	})
+
 	// Guards against an old table that stays in force while a slow peer sends the next one:
 	// for up to twenty seconds nothing else was tried as long as bytes arrived.
 	ginkgo.It("reads from the store if the reply that is arriving takes long", func(ctx context.Context) {
--- a/internal/entry/edge/edge_catchup.go
+++ b/internal/entry/edge/edge_catchup.go
@@ -30,9 +30,11 @@
 	go func() {
 		f := &follower.ChangeFeed{Address: address}
 		defer f.Close()
-		err := e.pull(ctx, peerSource(f), false)
+		// The peer has the changes: one that does not reply at once may be dead.
+		source := peerSource(f, 0)
+		err := e.pull(ctx, source, false)
 		if errors.Is(err, lacewingramp.ErrCompacted) {
-			err = e.pull(ctx, peerSource(f), true)
+			err = e.pull(ctx, source, true)
 		}
 		e.mu.Lock()
 		defer e.mu.Unlock()
--- a/internal/entry/edge/edge_follow.go
+++ b/internal/entry/edge/edge_follow.go
@@ -134,7 +134,7 @@
 		}
 		e.store.peerFeed = &follower.ChangeFeed{Address: address}
 	}
-	return peerSource(e.store.peerFeed)
+	return peerSource(e.store.peerFeed, peerLongPoll)
 }
 
 // followFailed stops following a peer to which a call failed, and avoids it for
@@ -170,8 +170,8 @@
 	return changeSource{ChangeFeed: e.Store, longPoll: longPoll}
 }
 
-func peerSource(f *follower.ChangeFeed) changeSource {
-	return changeSource{ChangeFeed: f, address: f.Address, longPoll: peerLongPoll}
+func peerSource(f *follower.ChangeFeed, longPoll time.Duration) changeSource {
+	return changeSource{ChangeFeed: f, address: f.Address, longPoll: longPoll}
 }
 
 // pull applies the changes from a source to the mirror, or replaces the mirror with a
