Refuse relayed requests while the first table is being put in force

Cause: a relayed request read the table before the first one was in force, and asked whether the instance is ready after it: it was, and the table read was nil. Now the table is read under the lock under which it is put in force, and may be missing.

The other readers of the table were read: they all allow for a missing one. The test (entry/edge, "an instance without a table runs no relayed request") panics before.

--- a/internal/entry/edge/edge_relay.go
+++ b/internal/entry/edge/edge_relay.go
@@ -214,10 +214,10 @@
 // reaches targets, and has no older table than the sender, whose callers may have seen the
 // newer one in force.
 func (e *Edge) mayRunRelayed(r *lacewingramp.RelayedRequest) bool {
-	m := e.routes.Load()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.Ready() && !e.reach.CutOff() && m.Table.Revision >= r.Revision
+	m := e.routes.Load()
+	return m != nil && e.Ready() && !e.reach.CutOff() && m.Table.Revision >= r.Revision
 }
 
 // relayBounds returns the bounds for relayed requests, whose headers are longer than those
--- a/internal/entry/edge/relay_test.go
+++ b/internal/entry/edge/relay_test.go
@@ -67,3 +67,12 @@
 		gomega.Expect(resp).To(gomega.HaveField("Status", http.StatusBadGateway))
 	})
 })
+
+// Guards against an instance that ends with a nil pointer: a request was relayed to it just
+// as its first table came in force.
+var _ = ginkgo.It("an instance without a table runs no relayed request", func() {
+	e := New(Settings{Name: "self", Domain: "a", Region: "north", Regions: map[string]string{"a": "north"}},
+		Dependencies{Timer: wall.Timer{}, Log: zerolog.Nop(), Meter: meter.New(), HeaderCodec: noHeaders{}})
+	e.ready.Store(true)
+	gomega.Expect(e.mayRunRelayed(&lacewingramp.RelayedRequest{})).To(gomega.BeFalse())
+})
