--- a/internal/entry/edge/fakes_test.go
+++ b/internal/entry/edge/fakes_test.go
@@ -192,10 +192,11 @@
 
 // target is a fake target. It responds with the customer and key that it received.
 type target struct {
-	name string
-	mode atomic.Value
-	runs atomic.Int32
-	stop chan struct{}
+	name        string
+	mode        atomic.Value
+	runs        atomic.Int32
+	stop        chan struct{}
+	releaseOnce sync.Once
 	// leaving is what the target says of whether it is leaving, "" for nothing.
 	leaving atomic.Value
 	// pause is the pause that the target asks for when it refuses a request, in seconds,
@@ -259,6 +260,11 @@
 	_, _ = fmt.Fprintf(w, "%s for %q key %q", t.name, r.Header.Get("For"), r.Header.Get("Key"))
 }
 
+// release lets the requests end that run in modeSilence, and all later ones.
+func (t *target) release() {
+	t.releaseOnce.Do(func() { close(t.stop) })
+}
+
 // sendWithoutEnd sends interim responses until the caller closes the connection.
 func (t *target) sendWithoutEnd(w http.ResponseWriter) {
 	c, _, err := w.(http.Hijacker).Hijack()
@@ -327,7 +333,7 @@
 		t.mode.Store(modeWell)
 		s := httptest.NewServer(t)
 		ginkgo.DeferCleanup(func() {
-			close(t.stop)
+			t.release()
 			s.CloseClientConnections()
 			s.Close()
 		})
--- a/internal/entry/edge/leave_test.go
+++ b/internal/entry/edge/leave_test.go
@@ -90,8 +90,7 @@
 			gomega.Expect(d.request(0, "/read/1", "andes-key", fmt.Sprint(i)).status).To(gomega.BeElementOf(http.StatusOK, http.StatusServiceUnavailable))
 		}
 		for _, t := range d.targets {
-			close(t.stop)
-			t.stop = make(chan struct{})
+			t.release()
 		}
 		var r response
 		gomega.Eventually(done, 5*time.Second).Should(gomega.Receive(&r))
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -270,7 +270,7 @@
 func (p *Placer) Choose(now time.Time, q Query) Choice {
 	all := p.order(now, &q)
 	if len(all) == 0 {
-		return p.whyNone(now, &q)
+		return p.noneUsable(now, &q)
 	}
 	all = p.candidates(now, all)
 	p.applyMoves(now, &q, all)
--- a/internal/steer/placement/placement_pause.go
+++ b/internal/steer/placement/placement_pause.go
@@ -82,9 +82,9 @@
 	return spread * time.Duration(mix(xxhash.Sum64String(p.Self)^t.hash)%parts) / parts
 }
 
-// whyNone returns the choice for a request that no target can get now. If some would get
+// noneUsable returns the choice for a request that no target can get now. If some would get
 // it but for a pause, it tells when the first of these ends.
-func (p *Placer) whyNone(now time.Time, q *Query) Choice {
+func (p *Placer) noneUsable(now time.Time, q *Query) Choice {
 	var c Choice
 	for _, t := range p.services[q.Service] {
 		if !p.eligible(now, t, q) {
