Let explain print pauses and departures of a request's service

The lines named the request whose response said so in the field id, by which explain takes a line for that request's alone. It is the field request now. The timeline's test has both kinds of lines: one of the request's service, which is printed, and one of another.

--- a/internal/entry/edge/edge_leave.go
+++ b/internal/entry/edge/edge_leave.go
@@ -68,7 +68,7 @@
 	e.Meter.TargetLeaving(peer != "")
 	registration, _ := e.placer.Registration(l.Target)
 	if e.loglimit.Allow(now, "departure") {
-		e.Log.Info().Str("id", id).Str("leaving", l.Target).Int64("start", l.StartMillis).Str("service", registration.Service).
+		e.Log.Info().Str("request", id).Str("leaving", l.Target).Int64("start", l.StartMillis).Str("service", registration.Service).
 			Str("peer", peer).Msg("a target is leaving by its own word")
 	}
 }
--- a/internal/entry/edge/edge_pause.go
+++ b/internal/entry/edge/edge_pause.go
@@ -22,6 +22,6 @@
 		e.Log.Warn().Str("id", j.headers.ID).Str("target", t.Name).Msg("ignored the pause that a target asks for, as it cannot be understood")
 		return
 	}
-	e.Log.Info().Str("id", j.headers.ID).Str("paused", t.Name).Dur("for", h.RetryAfter).Str("service", t.Service).
+	e.Log.Info().Str("request", j.headers.ID).Str("paused", t.Name).Dur("for", h.RetryAfter).Str("service", t.Service).
 		Msg("a target asked for a pause")
 }
--- a/internal/trace/timeline/timeline_test.go
+++ b/internal/trace/timeline/timeline_test.go
@@ -16,6 +16,8 @@
 {"level":"info","instance":"one","target":"t9","time":1500,"message":"target gone"}
 {"level":"warn","instance":"one","time":1400,"message":"lost the store"}
 {"level":"info","instance":"one","id":"other","time":1400,"message":"ended"}
+{"level":"info","instance":"one","paused":"t7","request":"other","service":"s","time":1600,"message":"a target asked for a pause"}
+{"level":"info","instance":"one","leaving":"t8","request":"other","service":"x","time":1600,"message":"a target is leaving by its own word"}
 {"level":"warn","instance":"one","time":90000,"message":"lost the store"}
 {"level":`
 	const two = `{"level":"info","instance":"two","id":"a1","status":503,"time":1000,"message":"ended"}
@@ -33,6 +35,7 @@
 		}
 		gomega.Expect(related).To(gomega.Equal([]string{
 			"00:00:01.400 one: lost the store", "00:00:01.500 one: target gone target=t1",
+			"00:00:01.600 one: a target asked for a pause paused=t7 request=other service=s",
 		}))
 	})
 
