--- a/internal/entry/edge/edge_catchup.go
+++ b/internal/entry/edge/edge_catchup.go
@@ -4,9 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/go-faster/errors"
-
-	"lacewingramp.example/lacewingramp"
 	"lacewingramp.example/lacewingramp/internal/peer/follower"
 )
 
@@ -31,11 +28,7 @@
 		f := &follower.ChangeFeed{Address: address}
 		defer f.Close()
 		// The peer has the changes: one that does not reply at once may be dead.
-		source := peerSource(f, 0)
-		err := e.pull(ctx, source, false)
-		if errors.Is(err, lacewingramp.ErrCompacted) {
-			err = e.pull(ctx, source, true)
-		}
+		err := e.pullOnce(ctx, peerSource(f, 0))
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.store.catchingUp = false
--- a/internal/entry/edge/edge_confirm.go
+++ b/internal/entry/edge/edge_confirm.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/go-faster/errors"
 
 	"lacewingramp.example/lacewingramp"
 )
@@ -99,10 +98,7 @@
 		return
 	}
 	go func() {
-		err := e.pull(ctx, e.storeSource(0), false)
-		if errors.Is(err, lacewingramp.ErrCompacted) {
-			err = e.pull(ctx, e.storeSource(0), true)
-		}
+		err := e.pullOnce(ctx, e.storeSource(0))
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/entry/edge/edge_follow.go
+++ b/internal/entry/edge/edge_follow.go
@@ -193,6 +193,16 @@
 	return nil
 }
 
+// pullOnce brings the mirror up to date with a source, by a snapshot if the source no
+// longer has all changes.
+func (e *Edge) pullOnce(ctx context.Context, s changeSource) error {
+	err := e.pull(ctx, s, false)
+	if errors.Is(err, lacewingramp.ErrCompacted) {
+		err = e.pull(ctx, s, true)
+	}
+	return err
+}
+
 func (e *Edge) pullSnapshot(ctx context.Context, s changeSource) error {
 	startedAt := e.Timer.Now()
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
