Log the progress of a rollout and attempts that ended without a response

No decision changes: results of attempts are passed on as a type, and those that ended unfinished are counted and still not used.

--- a/interfaces.go
+++ b/interfaces.go
@@ -14,8 +14,8 @@
 	// Choose returns the preferred version for a request, and the version to use
 	// if the preferred one has no free slot.
 	Choose(now time.Time, service string) (prefer, fallback string)
-	// Observe records whether a request on a version failed, and its duration.
-	Observe(route, service, version string, failed bool, took time.Duration)
+	// Observe records the result of an attempt on a version.
+	Observe(result AttemptResult)
 }
 
 // Crashes notifies peers that a target crashed while it ran a request.
--- a/internal/change/rollout/rollout.go
+++ b/internal/change/rollout/rollout.go
@@ -18,7 +18,7 @@
 //	m := rollout.NewManager("uy1-a")
 //	m.Configure(table)
 //	prefer, fallback := m.Choose(now, "recipes")
-//	m.Observe("recipe", "recipes", "recipes-2", failed, took)
+//	m.Observe(lacewingramp.AttemptResult{Route: "recipe", Service: "recipes", Version: "recipes-2", Took: took})
 //	m.Record(stats, outcomes)
 //	for _, o := range m.Tick(now) {
 //		// Write the outcome o to the store.
@@ -105,6 +105,9 @@
 	credit      float64
 	routes      map[string]*route
 	statsByKey  map[statsKey]lacewingramp.RolloutStats
+	// unfinished counts this instance's attempts that ended without a response, by
+	// version.
+	unfinished map[string]int64
 }
 
 // statsKey identifies the RolloutStats of one instance for one version and route.
@@ -150,7 +153,10 @@
 		k := rolloutID(row.Name, row.Start)
 		r, ok := known[k]
 		if !ok {
-			r = &rollout{slowFactor: m.SlowFactor, state: stateChart.Initial, routes: make(map[string]*route), statsByKey: make(map[statsKey]lacewingramp.RolloutStats)}
+			r = &rollout{
+				slowFactor: m.SlowFactor, state: stateChart.Initial, routes: make(map[string]*route),
+				statsByKey: make(map[statsKey]lacewingramp.RolloutStats), unfinished: make(map[string]int64),
+			}
 		}
 		r.row = row
 		m.rollouts[k] = r
@@ -366,6 +372,25 @@
 	Requests int64       `json:"seen"`
 	// RampStarted is when the ramp began, or zero.
 	RampStarted time.Time `json:"-"`
+	// Old and New are the counts of the old and of the new version.
+	Old VersionCounts `json:"-"`
+	New VersionCounts `json:"-"`
+}
+
+// VersionCounts are the numbers of attempts on one version during a rollout, at all
+// instances together. Unfinished is this instance's own number of those that ended
+// without a response, which the others do not include.
+type VersionCounts struct {
+	Requests   int64
+	Failures   int64
+	Slow       int64
+	Unfinished int64
+}
+
+func (c *VersionCounts) add(e lacewingramp.RolloutStats) {
+	c.Requests += e.RequestCount
+	c.Failures += e.Failures
+	c.Slow += e.Slow
 }
 
 // Statuses returns the status of each rollout, ordered by start.
@@ -380,11 +405,15 @@
 		if r.state == StateDone {
 			s.Share = 1
 		}
+		s.Old.Unfinished, s.New.Unfinished = r.unfinished[r.old], r.unfinished[r.row.Version]
 		for key, e := range r.statsByKey {
 			if key.version == r.row.Version {
-				s.Requests += e.RequestCount
+				s.New.add(e)
+			} else {
+				s.Old.add(e)
 			}
 		}
+		s.Requests = s.New.Requests
 		all = append(all, s)
 	}
 	return all
--- a/internal/change/rollout/simulation_test.go
+++ b/internal/change/rollout/simulation_test.go
@@ -174,7 +174,10 @@
 		x.maxFaultyShare = math.Max(x.maxFaultyShare, float64(x.faultyRequests)/float64(x.requests))
 	}
 	took := baseTime * factor * math.Exp(timeSpread*x.random.NormFloat64())
-	m.Observe(fmt.Sprintf("r%d", n), service, version, x.random.Float64() < failureRate, time.Duration(took*float64(time.Second)))
+	m.Observe(lacewingramp.AttemptResult{
+		Route: fmt.Sprintf("r%d", n), Service: service, Version: version,
+		Failed: x.random.Float64() < failureRate, Took: time.Duration(took * float64(time.Second)),
+	})
 }
 
 func allIn(states []string, state string) bool {
--- a/internal/change/rollout/stats.go
+++ b/internal/change/rollout/stats.go
@@ -114,21 +114,25 @@
 	return stats
 }
 
-// Observe records the result of a request that ran on a version, if the service
-// has a rollout under way.
-func (m *Manager) Observe(routeName, service, version string, failed bool, took time.Duration) {
-	r := m.active(service)
-	if r == nil || (version != r.row.Version && version != r.old) {
+// Observe records the result of an attempt on a version, if the service has a rollout
+// under way.
+func (m *Manager) Observe(a lacewingramp.AttemptResult) {
+	r := m.active(a.Service)
+	if r == nil || (a.Version != r.row.Version && a.Version != r.old) {
 		return
 	}
-	k := statsKey{instance: m.instance, route: routeName, version: version}
+	if a.Unfinished {
+		r.unfinished[a.Version]++
+		return
+	}
+	k := statsKey{instance: m.instance, route: a.Route, version: a.Version}
 	e := r.statsByKey[k]
-	e.Instance, e.Service, e.Route, e.Version, e.Rollout = m.instance, service, routeName, version, rolloutID(r.row.Name, r.row.Start)
+	e.Instance, e.Service, e.Route, e.Version, e.Rollout = m.instance, a.Service, a.Route, a.Version, rolloutID(r.row.Name, r.row.Start)
 	e.RequestCount++
-	if failed {
+	if a.Failed {
 		e.Failures++
 	}
-	if r.isSlow(routeName, version, failed, took) {
+	if r.isSlow(a.Route, a.Version, a.Failed, a.Took) {
 		e.Slow++
 	}
 	r.merge(k, e)
--- a/internal/entry/dispatch/run.go
+++ b/internal/entry/dispatch/run.go
@@ -211,7 +211,9 @@
 		failed := result.Outcome == slot.OutcomeFailed || result.Outcome == slot.OutcomeConnectionLost
 		took := d.Timer.Now().Sub(startedAt)
 		d.State.Lock()
-		d.VersionChooser.Observe(req.route.Name, req.route.Service, g.Target.Version, failed, took)
+		d.VersionChooser.Observe(lacewingramp.AttemptResult{
+			Route: req.route.Name, Service: req.route.Service, Version: g.Target.Version, Target: g.Target.Name, Failed: failed, Took: took,
+		})
 		d.State.Unlock()
 	}
 	return result, err
--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -181,8 +181,11 @@
 	e.logPause(now, j, target, r.ResponseHeaders)
 	e.logLimit(j.headers.ID, target.Name, limit)
 	e.recordLeaving(now, j, a.choice, r.ResponseHeaders)
-	if ran {
-		e.rollouts.Observe(j.route.Name, j.service, target.Version, failed, a.rolloutLatency())
+	if r.Verdict != lacewingramp.NotRun {
+		e.rollouts.Observe(lacewingramp.AttemptResult{
+			Route: j.route.Name, Service: j.service, Version: target.Version, Target: target.Name, Region: e.Regions[target.Domain], Object: j.headers.Object,
+			WarmingUp: a.choice.WarmingUp, Failed: failed, Unfinished: cancelled, Took: a.rolloutLatency(),
+		})
 	}
 	succeeded := !failed && !r.Unreachable && !r.ResponseHeaders.WrongTarget && !cancelled
 	if succeeded || !e.loglimit.Allow(now, "attempt") {
--- a/internal/entry/edge/edge_rollout.go
+++ b/internal/entry/edge/edge_rollout.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
 
 	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/change/chart"
 	"lacewingramp.example/lacewingramp/internal/change/rollout"
 	"lacewingramp.example/lacewingramp/internal/peer/heartbeat"
 	"lacewingramp.example/lacewingramp/internal/peer/rendezvous"
@@ -42,6 +44,10 @@
 	pending      write
 	pendingSince time.Time
 	writing      bool
+	// loggedState is the state in the last log line on the rollout's progress, and
+	// loggedAt the time of that line.
+	loggedState chart.State
+	loggedAt    time.Time
 }
 
 // write is a record to be written: its store key and its value. The value is a string
@@ -263,6 +269,7 @@
 	for _, o := range e.rollouts.Tick(now) {
 		e.Log.Info().Str("rollout", o.Rollout).Str("state", o.State).Str("reason", o.Reason).Msg("rollout decided")
 	}
+	e.logProgress(now)
 	for _, o := range e.orders {
 		w, err := e.pendingWrite(o)
 		if err != nil {
@@ -351,3 +358,33 @@
 		o.writing = false
 	})
 }
+
+// progressInterval is the time between two log lines on the progress of a rollout that
+// stays in its state.
+const progressInterval = 2 * time.Second
+
+// logProgress logs the state of each rollout and what its decision is based on, when the
+// state changes and every progressInterval until the rollout has ended.
+func (e *Edge) logProgress(now time.Time) {
+	for _, s := range e.rollouts.Statuses(now) {
+		o, ok := e.orders[s.Service]
+		if !ok || o.rolloutName() != s.Rollout {
+			continue
+		}
+		ended := s.State == rollout.StateDone || s.State == rollout.StateRolledBack
+		if s.State == o.loggedState && (ended || now.Sub(o.loggedAt) < progressInterval) {
+			continue
+		}
+		o.loggedState, o.loggedAt = s.State, now
+		e.Log.Info().Str("service", s.Service).Str("version", s.Version).Str("state", string(s.State)).Float64("share", s.Share).
+			Object("new", versionCounts(s.New)).Object("old", versionCounts(s.Old)).Msg("rollout in progress")
+	}
+}
+
+// versionCounts are the counts of one version as an object of a log line.
+type versionCounts rollout.VersionCounts
+
+// MarshalZerologObject adds the counts to a log line.
+func (c versionCounts) MarshalZerologObject(event *zerolog.Event) {
+	event.Int64("requests", c.Requests).Int64("failures", c.Failures).Int64("slow", c.Slow).Int64("unfinished", c.Unfinished)
+}
