Compare versions over the same time and like with like, bound the share by requests

What callers saw: a slow version of a service got up to 1251 of 2693 requests of its rollout's time (allowed 319) and was even kept; one that failed late had had more than its share; good versions were taken back when some targets were slow, or for too little evidence at a low load.

Cause, one class: evidence without its population and age. Attempts that ended at their deadline were left out, so the slowest responses never counted; slow meant 3.5 times the mean of an instance's first 20 responses, cold ones among them; slow targets counted against the version that they happened to run; and the share followed the clock, whatever had been sent or found.

Ruled out: a slow exchange of evidence (the counts of all instances agree within 0.5 s in the logs); a late stop after the decision.

A response is compared with the old version's of the same time, route and region, from idle warm targets, for objects met before; unfinished attempts count once they took longer than a slow response; counts are kept by groups of targets and faulty groups of the old version excuse as many of the new one's; until done, a version gets its share of the requests sent so far, and a short burst of what was saved shows it under load. Retries go to the old version.

--- a/attempt_result.go
+++ b/attempt_result.go
@@ -9,18 +9,22 @@
 	Service string
 	Version string
 	Target  string
+	// StartMillis is that of the target's registration.
+	StartMillis int64
 	// Region is the region of the target.
 	Region string
 	// Object is the object that the request is for, "" if it names none.
 	Object string
-	// Busy is set if all slots of the target seemed to be in use when the request was
-	// sent, WarmingUp if the target was cold. Either is slow in any version.
-	Busy      bool
+	// Load is the estimated number of requests per slot of the target while it had the
+	// request.
+	Load float64
+	// WarmingUp is set if the target was cold.
 	WarmingUp bool
 	// Failed is set if there was no whole response or a server error.
 	Failed bool
 	// Unfinished is set if the attempt was ended before there was a response, because the
 	// time was over or the caller had left. A response would have taken longer than Took.
 	Unfinished bool
+	EndedAt    time.Time
 	Took       time.Duration
 }
--- a/digest.go
+++ b/digest.go
@@ -64,10 +64,26 @@
 	Crashes     int    `json:"deaths" cbor:"3,keyasint"`
 }
 
+// TargetGroups is the number of groups that the targets of a service are divided into by
+// their names.
+const TargetGroups = 8
+
+// TargetGroup holds the request counters of one instance for the targets of one group.
+// Compared is the number of requests whose latency was compared with the old version's,
+// of which Slow were slow.
+type TargetGroup struct {
+	_            struct{} `cbor:",toarray"`
+	RequestCount int64    `json:"count"`
+	Failures     int64    `json:"failures"`
+	Compared     int64    `json:"compared"`
+	Slow         int64    `json:"slow"`
+}
+
 // RolloutStats holds the request counters of one instance for one version on one
 // route during a rollout. RequestCount includes Failures and Slow, the numbers of
 // failed and of slow requests. Counters never decrease, so reports are merged by
-// taking the maximum.
+// taking the maximum. Groups divides them by groups of targets, at most TargetGroups;
+// earlier versions of the program send none.
 type RolloutStats struct {
 	Instance     string `json:"instance" cbor:"1,keyasint"`
 	Rollout      string `json:"rollout" cbor:"2,keyasint"`
@@ -77,6 +93,20 @@
 	RequestCount int64  `json:"count" cbor:"6,keyasint"`
 	Failures     int64  `json:"failures" cbor:"7,keyasint"`
 	Slow         int64  `json:"slow" cbor:"8,keyasint"`
+
+	Groups []TargetGroup `json:"groups,omitempty" cbor:"9,keyasint,omitempty"`
+}
+
+// Check returns an error for stats that no instance sends.
+func (s *RolloutStats) Check() error {
+	valid := s.RequestCount >= 0 && s.Failures >= 0 && s.Slow >= 0 && len(s.Groups) <= TargetGroups
+	for _, g := range s.Groups {
+		valid = valid && g.RequestCount >= 0 && g.Failures >= 0 && g.Compared >= 0 && g.Slow >= 0
+	}
+	if !valid {
+		return &InvalidValueError{Kind: "rollout stats", Name: s.Instance}
+	}
+	return nil
 }
 
 // RolloutOutcome is the final state of a rollout. It is written once.
--- a/interfaces.go
+++ b/interfaces.go
@@ -12,8 +12,10 @@
 // VersionChooser selects the version of a service that a request runs on.
 type VersionChooser interface {
 	// Choose returns the preferred version for a request, and the version to use
-	// if the preferred one has no free slot.
-	Choose(now time.Time, service string) (prefer, fallback string)
+	// if the preferred one has no free slot. object is "" if the request names none.
+	Choose(now time.Time, service, object string) (prefer, fallback string)
+	// RecordSent counts a request that is sent to a target of a version.
+	RecordSent(now time.Time, service, version string)
 	// Observe records the result of an attempt on a version.
 	Observe(result AttemptResult)
 }
--- a/internal/change/rollout/exposure_test.go
+++ b/internal/change/rollout/exposure_test.go
@@ -99,6 +99,8 @@
 			state := f.run()
 			ginkgo.GinkgoWriter.Println("seed", seed, state, f.decidedAt, f.sent, f.allowed(), f.managers[0].Statuses(f.time())[0])
 			gomega.Expect(state).To(gomega.Equal(string(StateDone)), fmt.Sprint("seed ", seed))
+			before := f.sentAtDecision
+			gomega.Expect(float64(before[newVersion])).To(gomega.BeNumerically("<=", fleetShare*float64(before[oldVersion]+before[newVersion])))
 		}
 	},
 		ginkgo.Entry("at a usual load", 130.0, 2*time.Second, func() func(*fleet, *fleetTarget) float64 { return usualTime }),
--- a/internal/change/rollout/fleet_test.go
+++ b/internal/change/rollout/fleet_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -24,9 +25,12 @@
 	events   fleetEvents
 	scenario fleetScenario
 
-	sent       map[string]int64
-	decidedAt  time.Duration
-	decided    string
+	// sent counts the requests sent since the start of the rollout, by version.
+	sent           map[string]int64
+	sentAtDecision map[string]int64
+	decidedAt      time.Duration
+	decided        string
+
 	sequence   int
 	routeNames []string
 }
@@ -49,8 +53,6 @@
 	region    int
 	busyUntil []time.Duration
 	handled   map[string]bool
-	// slow is set for a target that is slow whatever its version.
-	slow bool
 }
 
 const (
@@ -109,7 +111,6 @@
 	}
 	for i := range instances {
 		m := NewManager(fmt.Sprint("i", i))
-		m.SlowFactor = 3.5
 		m.Configure(f.table())
 		f.managers = append(f.managers, m)
 	}
@@ -174,6 +175,7 @@
 	for _, o := range m.Tick(f.time()) {
 		if f.decided != string(StateRolledBack) {
 			f.decided, f.decidedAt = o.State, f.now
+			f.sentAtDecision = maps.Clone(f.sent)
 		}
 	}
 	reports, outcomes := m.RolloutStats(), m.Outcomes()
@@ -191,7 +193,7 @@
 func (f *fleet) arrive() {
 	i := f.random.IntN(instances)
 	object := fmt.Sprint("o", f.random.IntN(fleetObjects))
-	prefer, fallback := f.managers[i].Choose(f.time(), service)
+	prefer, fallback := f.managers[i].Choose(f.time(), service, object)
 	t := f.place(i%fleetRegions, prefer, object)
 	if t == nil {
 		t = f.place(i%fleetRegions, fallback, object)
@@ -250,6 +252,7 @@
 	if f.now >= f.scenario.orderedAt {
 		f.sent[t.version]++
 	}
+	f.managers[i].RecordSent(f.time(), service, t.version)
 	work := fleetWork
 	if t.handled[object] {
 		work = fleetRepeatedWork
@@ -258,7 +261,13 @@
 	factor := f.scenario.factor(f, t)
 	took := time.Duration(float64(work) * factor * math.Exp(fleetSpread*f.random.NormFloat64()))
 	failed := f.scenario.failed(f, t)
-	busy := f.wait(t) > 0
+	running := 1
+	for _, until := range t.busyUntil {
+		if until > f.now {
+			running++
+		}
+	}
+	load := float64(running)/fleetSlots + f.wait(t).Seconds()/fleetRepeatedWork.Seconds()
 	slot := slices.Index(t.busyUntil, slices.Min(t.busyUntil))
 	done := max(f.now, t.busyUntil[slot]) + took
 	t.busyUntil[slot] = min(done, f.now+fleetDeadline)
@@ -268,12 +277,15 @@
 	}
 	result := lacewingramp.AttemptResult{
 		Route: routeName, Service: service, Version: t.version, Target: t.name, Region: fmt.Sprint("r", t.region), Object: object,
-		Busy: busy, Failed: failed, Took: done - f.now + latency,
+		Load: load, Failed: failed, Took: done - f.now + latency,
 	}
 	if result.Took >= fleetDeadline {
 		result.Took, result.Failed, result.Unfinished = fleetDeadline, false, true
 	}
-	f.at(f.now+result.Took, func() { f.managers[i].Observe(result) })
+	f.at(f.now+result.Took, func() {
+		result.EndedAt = f.time()
+		f.managers[i].Observe(result)
+	})
 }
 
 // allowed returns how many requests a bad version may get.
--- a/internal/change/rollout/rollout.go
+++ b/internal/change/rollout/rollout.go
@@ -8,17 +8,23 @@
 // of rollbacks that an instance knows of only grows. An outcome is written to the
 // store once.
 //
-// As a canary, the new version gets at most the share of the requests that the Table
-// sets. Once it has run enough requests on every route, its share is ramped up to
-// reach 1 before the deadline. A rollout whose new version runs too few requests for
-// too long, or that is not done by its deadline, is rolled back.
+// The evidence is the failures and slow responses of both versions over the same time. A
+// response is compared with those of the old version to like requests: see latency.go. It
+// counts by groups of targets, as a version is faulty on all its targets and not on a few.
+// An attempt that ended without a response counts as slow once it took longer than a slow
+// response.
+//
+// Until the rollout is done, the new version gets at most the share of the requests that
+// the Table sets: see share.go. A rollout whose new version runs too few requests for too
+// long, or that is not done by its deadline, is rolled back.
 //
 // # Usage
 //
 //	m := rollout.NewManager("uy1-a")
 //	m.Configure(table)
-//	prefer, fallback := m.Choose(now, "recipes")
-//	m.Observe(lacewingramp.AttemptResult{Route: "recipe", Service: "recipes", Version: "recipes-2", Took: took})
+//	prefer, fallback := m.Choose(now, "recipes", "object-17")
+//	m.RecordSent(now, "recipes", "recipes-2")
+//	m.Observe(lacewingramp.AttemptResult{Route: "recipe", Service: "recipes", Version: "recipes-2", Took: took, EndedAt: now})
 //	m.Record(stats, outcomes)
 //	for _, o := range m.Tick(now) {
 //		// Write the outcome o to the store.
@@ -29,7 +35,6 @@
 
 import (
 	_ "embed" // the state chart is part of the program
-	"math"
 	"sort"
 	"time"
 
@@ -51,39 +56,10 @@
 	StateRolledBack chart.State = "rolledback"
 )
 
-// Points in time of a rollout, as fractions of the time from its start to its
-// deadline. The new version's share grows from rampStart or later until rampEnd,
-// when it is 1. The rollout is done at earliestDone or later.
-const (
-	rampStart    = 0.25
-	rampEnd      = 0.8
-	earliestDone = 0.92
-	// canaryDeadline is when a canary that has not run enough requests is rolled back.
-	canaryDeadline = 0.6
-)
-
-// The minimum numbers of requests on the new version, in total and on each route, before
-// a canary's share grows.
-const (
-	minRequests      = 60
-	minRouteRequests = 20
-	// minRouteShare is the minimum share of a route in the old version's requests.
-	// Routes with a smaller share need no minimum number of requests.
-	minRouteShare = 0.02
-	// routeSampleFactor lowers the minimum for a route with few requests to this
-	// fraction of the number that the route has, on average, among minRequests
-	// requests.
-	routeSampleFactor = 0.5
-)
-
 // Manager carries out the rollouts of a Table at one instance. versions maps each
 // service to its version before any rollout. rollouts and outcomes are keyed by
 // rolloutID, and order lists the keys of rollouts by start.
 type Manager struct {
-	// SlowFactor is the ratio to the old version's average time above which a
-	// response counts as slow, or 0 for the default.
-	SlowFactor float64
-
 	instance string
 	versions map[string]string
 	rollouts map[string]*rollout
@@ -92,18 +68,21 @@
 }
 
 // rollout is the state of one rollout at this instance. row is its row in the Table,
-// and old the version that the service had before it. rampStarted is when the ramp
-// began, or zero. Choose describes credit.
+// and old the version that the service had before it. rampStarted is when it left the
+// canary state for the ramp state, or zero. all and routes are the evidence of all instances,
+// together and by route, and evaluatedAt when it was last evaluated. statsByKey holds the
+// latest stats of each instance.
 type rollout struct {
-	row        lacewingramp.Rollout
-	slowFactor float64
-
+	row         lacewingramp.Rollout
 	old         string
 	state       chart.State
 	reason      string
 	rampStarted time.Time
-	credit      float64
+	pace        pace
+	latencies   latencies
+	all         route
 	routes      map[string]*route
+	evaluatedAt time.Time
 	statsByKey  map[statsKey]lacewingramp.RolloutStats
 	// unfinished counts this instance's attempts that ended without a response, by
 	// version.
@@ -154,7 +133,7 @@
 		r, ok := known[k]
 		if !ok {
 			r = &rollout{
-				slowFactor: m.SlowFactor, state: stateChart.Initial, routes: make(map[string]*route),
+				state: stateChart.Initial, routes: make(map[string]*route),
 				statsByKey: make(map[statsKey]lacewingramp.RolloutStats), unfinished: make(map[string]int64),
 			}
 		}
@@ -207,63 +186,6 @@
 	return v
 }
 
-// Choose returns the version that the next request of a service should run on, and
-// the one that it may run on if the first has no free slot.
-//
-// A request runs on the new version each time that its share, added up over the
-// requests as credit, reaches 1. As the credit of every instance starts at 0, the
-// new version gets at most its share of the requests of all instances together.
-func (m *Manager) Choose(now time.Time, service string) (prefer, fallback string) {
-	r := m.active(service)
-	if r == nil {
-		v := m.version(service)
-		return v, v
-	}
-	r.credit += r.share(now)
-	if r.credit < 1 {
-		return r.old, r.old
-	}
-	r.credit--
-	return r.row.Version, r.old
-}
-
-// window returns the time from a rollout's start to its deadline.
-func (r *rollout) window() time.Duration {
-	return r.row.Deadline.Sub(r.row.Start)
-}
-
-// timeAt returns the time at which a fraction of the window has passed.
-func (r *rollout) timeAt(fraction float64) time.Time {
-	return r.row.Start.Add(time.Duration(fraction * float64(r.window())))
-}
-
-// share returns the maximum share of the new version in the service's requests, as
-// a fraction.
-func (r *rollout) share(now time.Time) float64 {
-	switch r.state {
-	case StateCanary:
-		return r.row.CanaryFraction
-	case StateRamp:
-		return r.rampShare(now)
-	default:
-		return 0
-	}
-}
-
-// minRampShare is the share at which a ramp begins if the canary's share in the Table
-// is smaller, as a fraction of the service's requests.
-const minRampShare = 0.001
-
-func (r *rollout) rampShare(now time.Time) float64 {
-	from := r.timeAt(rampStart)
-	if r.rampStarted.After(from) {
-		from = r.rampStarted
-	}
-	progress := now.Sub(from).Seconds() / math.Max(1e-9, r.timeAt(rampEnd).Sub(from).Seconds())
-	initial := math.Max(minRampShare, r.row.CanaryFraction)
-	return math.Min(1, initial*math.Pow(1/initial, math.Max(0, progress)))
-}
-
 // transition changes the state as the state chart defines for an event. It returns
 // false if the state does not accept the event.
 func (r *rollout) transition(now time.Time, e chart.Event, reason string) bool {
@@ -303,6 +225,7 @@
 }
 
 func (r *rollout) evaluate(now time.Time) {
+	r.fade(now)
 	if r.row.Cancelled {
 		r.transition(now, "cancel", "cancelled by an operator")
 		return
@@ -317,11 +240,11 @@
 	switch {
 	case !now.Before(r.row.Deadline):
 		r.transition(now, "late", "not done by its deadline")
-	case r.state == StateCanary && r.enoughRequests():
+	case r.state == StateCanary && r.enoughRequests() && (r.enoughCompared() || !now.Before(r.timeAt(canaryDeadline))):
 		r.transition(now, "evidence", "")
 	case r.state == StateCanary && !now.Before(r.timeAt(canaryDeadline)):
 		r.transition(now, "late", "too little evidence")
-	case r.state == StateRamp && !now.Before(r.timeAt(earliestDone)) && r.rampShare(now) >= 1:
+	case r.state == StateRamp && !now.Before(r.timeAt(earliestDone)) && r.rampShare(now) >= 1 && !r.suspected(now):
 		r.transition(now, "full", "")
 	}
 }
--- a/internal/change/rollout/rollout_test.go
+++ b/internal/change/rollout/rollout_test.go
@@ -53,7 +53,8 @@
 		for range 50 {
 			for _, m := range x.managers {
 				m.Tick(start)
-				v, _ := m.Choose(start, service)
+				v, _ := m.Choose(start, service, "")
+				m.RecordSent(start, service, v)
 				total++
 				if v == "v2" {
 					newRequests++
@@ -78,7 +79,7 @@
 			m.Configure(x.table())
 			m.ApplyOutcome(lacewingramp.RolloutOutcome{Rollout: "move", Start: start, State: string(StateDone)})
 			gomega.Expect(m.Statuses(start)[0].State).To(gomega.Equal(StateRolledBack))
-			v, _ := m.Choose(start, service)
+			v, _ := m.Choose(start, service, "")
 			gomega.Expect(v).To(gomega.Equal("v1"))
 		}
 	})
@@ -107,7 +108,7 @@
 		older := e
 		older.RequestCount, older.Failures = 5, 1
 		m.Record([]lacewingramp.RolloutStats{older}, nil)
-		gomega.Expect(m.rollouts[key].routes["r"].new).To(gomega.Equal(counters{count: 10, failures: 2}))
+		gomega.Expect(m.rollouts[key].routes["r"].new.total()).To(gomega.Equal(counters{count: 10, failures: 2, compared: 10}))
 	})
 
 	ginkgo.It("can be under way for two services at the same time", func() {
@@ -119,7 +120,7 @@
 		})
 		m.Configure(t)
 		m.Tick(start)
-		v, fallback := m.Choose(start, "orders")
+		v, fallback := m.Choose(start, "orders", "")
 		gomega.Expect(fmt.Sprint(v, fallback)).To(gomega.Equal("o2o1"))
 	})
 })
--- a/internal/change/rollout/simulation_test.go
+++ b/internal/change/rollout/simulation_test.go
@@ -83,6 +83,7 @@
 	simulationStep  = 100 * time.Millisecond
 	exchangePeriod  = 500 * time.Millisecond
 	instances       = 8
+	targets         = 4
 )
 
 func newSimulation(seed uint64, b behaviour, rate float64, window time.Duration) *simulation {
@@ -151,7 +152,8 @@
 
 func (x *simulation) request(now time.Time, m *Manager) {
 	n := x.random.IntN(routes)
-	version, _ := m.Choose(now, service)
+	version, _ := m.Choose(now, service, "")
+	m.RecordSent(now, service, version)
 	x.requests++
 	progress := now.Sub(start).Seconds() / x.window.Seconds()
 	failureRate, factor := baseFailureRate, 1.0
@@ -175,8 +177,8 @@
 	}
 	took := baseTime * factor * math.Exp(timeSpread*x.random.NormFloat64())
 	m.Observe(lacewingramp.AttemptResult{
-		Route: fmt.Sprintf("r%d", n), Service: service, Version: version,
-		Failed: x.random.Float64() < failureRate, Took: time.Duration(took * float64(time.Second)),
+		Route: fmt.Sprintf("r%d", n), Service: service, Version: version, Target: fmt.Sprint(version, "-", x.random.IntN(targets)),
+		Failed: x.random.Float64() < failureRate, EndedAt: now, Took: time.Duration(took * float64(time.Second)),
 	})
 }
 
--- a/internal/entry/dispatch/bench_test.go
+++ b/internal/entry/dispatch/bench_test.go
@@ -85,7 +85,7 @@
 		d.tb.Fatal(err)
 	}
 	r := d.request
-	r.Version, r.Fallback = d.state.Rollouts.Choose(d.now, r.Service)
+	r.Version, r.Fallback = d.state.Rollouts.Choose(d.now, r.Service, "")
 	g, ok := d.state.Pool.Acquire(d.now, r)
 	if !ok {
 		d.tb.Fatal("no slot")
--- a/internal/entry/dispatch/run.go
+++ b/internal/entry/dispatch/run.go
@@ -104,7 +104,7 @@
 	if err := d.checkCaps(now, req); err != nil {
 		return slot.Grant{}, err
 	}
-	slotReq.Version, slotReq.Fallback = d.VersionChooser.Choose(now, req.route.Service)
+	slotReq.Version, slotReq.Fallback = d.VersionChooser.Choose(now, req.route.Service, "")
 	g, ok := d.State.Pool.Acquire(now, slotReq)
 	if !ok {
 		return slot.Grant{}, lacewingramp.NewRefusal(lacewingramp.CauseSlots, "no free slot")
@@ -134,7 +134,7 @@
 	if d.queued == nil {
 		d.queued = make(map[slot.Ticket]chan slot.Grant)
 	}
-	_, slotReq.Version = d.VersionChooser.Choose(d.Timer.Now(), req.route.Service)
+	_, slotReq.Version = d.VersionChooser.Choose(d.Timer.Now(), req.route.Service, "")
 	ok := d.State.Pool.Enqueue(d.Timer.Now(), slotReq)
 	if ok {
 		d.queued[slotReq.Ticket] = ready
@@ -199,6 +199,9 @@
 	defer cancel()
 	d.stats.Attempts.Add(1)
 	startedAt := d.Timer.Now()
+	d.State.Lock()
+	d.VersionChooser.RecordSent(startedAt, req.route.Service, g.Target.Version)
+	d.State.Unlock()
 	result, err := d.TargetClient.Do(ctx, g.Target, req.ForwardRequest, req.route.Idempotent)
 	d.guardFinish(req, result.Outcome == slot.OutcomeConnectionLost)
 	if result.Leaving {
@@ -209,10 +212,11 @@
 	d.releaseAfter(ctx, g, result.Outcome, err)
 	if result.Outcome != slot.OutcomeAborted {
 		failed := result.Outcome == slot.OutcomeFailed || result.Outcome == slot.OutcomeConnectionLost
-		took := d.Timer.Now().Sub(startedAt)
+		endedAt := d.Timer.Now()
 		d.State.Lock()
 		d.VersionChooser.Observe(lacewingramp.AttemptResult{
-			Route: req.route.Name, Service: req.route.Service, Version: g.Target.Version, Target: g.Target.Name, Failed: failed, Took: took,
+			Route: req.route.Name, Service: req.route.Service, Version: g.Target.Version, Target: g.Target.Name,
+			Failed: failed, EndedAt: endedAt, Took: endedAt.Sub(startedAt),
 		})
 		d.State.Unlock()
 	}
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -223,7 +223,6 @@
 	e.poolBackoff = make(map[string]time.Time)
 	e.poisonGuard = poison.Guard{Instance: s.Name}
 	e.rollouts = rollout.NewManager(s.Name + startSeparator + now.Format(time.RFC3339Nano))
-	e.rollouts.SlowFactor = slowFactor
 	e.orders = make(map[string]*order)
 	e.roundRobins = make(map[string]*weightedRoundRobin)
 	e.expired = make(map[string]time.Time)
--- a/internal/entry/edge/edge_admit.go
+++ b/internal/entry/edge/edge_admit.go
@@ -80,6 +80,15 @@
 	return j.customer.Regions
 }
 
+// object returns the object that the request should reach a target for that knows it, ""
+// if there is none.
+func (j *job) object() string {
+	if !j.route.Affinity {
+		return ""
+	}
+	return j.headers.Object
+}
+
 // handle returns the response to a caller's request.
 func (e *Edge) handle(ctx context.Context, r *message.Request, receivedAt time.Time) *message.Response {
 	e.arrivals.Add(1)
--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -87,10 +87,8 @@
 		return placement.Choice{}, false
 	}
 	q := placement.Query{Service: j.service, RouteRegions: j.route.Regions, CustomerRegions: j.customerRegions(), Tried: j.tried, NoTokenRequests: j.tokenRequests >= maxTargetTokenRequests}
-	if j.route.Affinity {
-		q.Object = j.headers.Object
-	}
-	prefer, fallback := e.chooseVersions(now, j.service)
+	q.Object = j.object()
+	prefer, fallback := e.chooseVersions(now, j)
 	q.Version = prefer
 	choice := e.placer.Choose(now, q)
 	if choice.Target == nil && fallback != prefer {
@@ -111,6 +109,7 @@
 		}
 		return placement.Choice{}, false
 	}
+	e.rollouts.RecordSent(now, j.service, choice.Target.Version)
 	j.tried = append(j.tried, choice.Target.Name)
 	j.rank = choice.RankingPosition
 	return choice, true
@@ -168,7 +167,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.Timer.Now()
-	cancelled := r.Response == nil && ctx.Err() != nil
+	cancelled := r.Response == nil && (ctx.Err() != nil || !now.Before(j.deadline))
 	ran := r.Verdict != lacewingramp.NotRun && !cancelled
 	failed := ran && (r.Response == nil || r.Response.Status >= http.StatusInternalServerError)
 	limit := e.placer.Limit(target.Name)
@@ -183,8 +182,8 @@
 	e.recordLeaving(now, j, a.choice, r.ResponseHeaders)
 	if r.Verdict != lacewingramp.NotRun {
 		e.rollouts.Observe(lacewingramp.AttemptResult{
-			Route: j.route.Name, Service: j.service, Version: target.Version, Target: target.Name, Region: e.Regions[target.Domain], Object: j.headers.Object,
-			WarmingUp: a.choice.WarmingUp, Failed: failed, Unfinished: cancelled, Took: a.rolloutLatency(),
+			Route: j.route.Name, Service: j.service, Version: target.Version, Target: target.Name, StartMillis: a.choice.StartMillis, Region: e.Regions[target.Domain],
+			Object: j.object(), Load: a.load(), WarmingUp: a.choice.WarmingUp, Failed: failed, Unfinished: cancelled, EndedAt: now, Took: a.took,
 		})
 	}
 	succeeded := !failed && !r.Unreachable && !r.ResponseHeaders.WrongTarget && !cancelled
@@ -196,13 +195,14 @@
 		Bool("cancelled", cancelled).Msg("a target did not answer well")
 }
 
-// rolloutLatency returns the latency that counts for the target's version. It is 0 for
-// a cold target, which is slow in any version.
-func (a attempt) rolloutLatency() time.Duration {
-	if a.choice.WarmingUp {
-		return 0
+// load returns the number of requests per slot at the target, as estimated when the request
+// was sent or as reported with the response, whichever is higher.
+func (a attempt) load() float64 {
+	reported := a.result.ResponseHeaders.TargetLoad
+	if reported == nil {
+		return a.choice.Load
 	}
-	return a.took
+	return max(a.choice.Load, float64(reported.Running+reported.Waiting)/float64(max(1, a.choice.Target.Slots)))
 }
 
 func statusOf(resp *message.Response) int {
--- a/internal/entry/edge/edge_rollout.go
+++ b/internal/entry/edge/edge_rollout.go
@@ -205,11 +205,6 @@
 // canary.
 const canaryFraction = 1.0
 
-// slowFactor is the ratio to the old version's average latency above which a response
-// counts as slow. Targets take more than three times as long for objects that they have
-// not handled before.
-const slowFactor = 3.5
-
 // setBaseVersion sets an unknown base version to the one that most targets of the
 // service have, the new version excluded.
 func (e *Edge) setBaseVersion(o *order) {
@@ -251,17 +246,22 @@
 	return rollout.Status{State: rollout.StatePlanned}
 }
 
-// chooseVersions returns the preferred and the fallback version for a service's next
-// request. Both are empty, which allows any version, if the service has no order.
-func (e *Edge) chooseVersions(now time.Time, service string) (prefer, fallback string) {
-	o, ok := e.orders[service]
+// chooseVersions returns the preferred and the fallback version for the next attempt of a
+// request. Both are empty, which allows any version, if the service has no order. A request
+// is tried again on the fallback version only.
+func (e *Edge) chooseVersions(now time.Time, j *job) (prefer, fallback string) {
+	o, ok := e.orders[j.service]
 	if !ok {
 		return "", ""
 	}
 	if o.startAt.IsZero() {
 		return o.baseVersion, o.baseVersion
 	}
-	return e.rollouts.Choose(now, service)
+	prefer, fallback = e.rollouts.Choose(now, j.service, j.object())
+	if len(j.tried) > 0 {
+		return fallback, fallback
+	}
+	return prefer, fallback
 }
 
 // tickRollouts advances the rollouts and writes the records that the store lacks.
--- a/internal/entry/edge/fakes_test.go
+++ b/internal/entry/edge/fakes_test.go
@@ -203,6 +203,8 @@
 	// "" for none. refusals counts the requests that it refused.
 	pause    atomic.Value
 	refusals atomic.Int32
+	// delay is how long the target takes to respond, in nanoseconds.
+	delay atomic.Int64
 	// cutOff counts the connections that the caller closed in modeEndless.
 	cutOff atomic.Int32
 }
@@ -214,6 +216,8 @@
 	modeBreak   = "break"
 	modeFail    = "fail"
 	modeSilence = "silence"
+	// modeHalfSilence sends no response to every second request.
+	modeHalfSilence = "half-silence"
 	// modeEndless sends interim responses until the caller closes the connection.
 	modeEndless = "endless"
 	// modeForge responds as if it were an instance that has not run the request.
@@ -235,7 +239,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	t.runs.Add(1)
+	if runs := t.runs.Add(1); mode == modeHalfSilence && runs%2 == 0 {
+		mode = modeSilence
+	}
+	time.Sleep(time.Duration(t.delay.Load()))
 	switch mode {
 	case modeBreak:
 		c, _, err := w.(http.Hijacker).Hijack()
--- a/internal/proof/slope/measure.go
+++ b/internal/proof/slope/measure.go
@@ -219,12 +219,16 @@
 // the request counts of the old and of the new version on each of n routes.
 func rolloutStatsBytes(n int) float64 {
 	d := newDigest("uy1", 0, 0)
+	groups := make([]lacewingramp.TargetGroup, lacewingramp.TargetGroups)
+	for i := range groups {
+		groups[i] = lacewingramp.TargetGroup{RequestCount: 12500, Failures: 40, Compared: 10000, Slow: 250}
+	}
 	before := link.Size(d)
 	for i := range n {
 		for _, v := range []string{"recipes-1", "recipes-2"} {
 			d.RolloutStats = append(d.RolloutStats, lacewingramp.RolloutStats{
 				Instance: d.Name, Rollout: "recipes@2027-01-31T18:00:00Z", Service: "recipes", Route: fmt.Sprintf("route-%d", i),
-				Version: v, RequestCount: 100000, Failures: 300, Slow: 2000,
+				Version: v, RequestCount: 100000, Failures: 300, Slow: 2000, Groups: groups,
 			})
 		}
 	}
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -68,7 +68,8 @@
 // are usable targets, all of them full, or none at all. RankingPosition is the
 // target's index, from 0, in the order in which Choose tried the targets. StartMillis is
 // that of the target's registration. RetryAfter is the time to the end of the first pause
-// of a target, if no other one is usable. WarmingUp says that the target is cold.
+// of a target, if no other one is usable. WarmingUp says that the target is cold. Load is the
+// estimated number of requests per slot at the target, this one included.
 //
 // NeedsProbe says that the request has not been counted as in flight yet: the caller must
 // probe the target, to learn whether it is cold, and then call Choose again. NeedsToken
@@ -81,6 +82,7 @@
 	StartMillis     int64
 	RetryAfter      time.Duration
 	WarmingUp       bool
+	Load            float64
 	NeedsProbe      bool
 	NeedsToken      bool
 }
@@ -306,6 +308,7 @@
 		switch p.admit(now, t.target, choice.WarmingUp, !q.NoTokenRequests) {
 		case admitted:
 			t.inflight++
+			choice.Load = t.utilization(now)
 			return choice.of(t.target), true
 		case tokenNeeded:
 			choice.NeedsToken = true
--- a/table.go
+++ b/table.go
@@ -159,8 +159,8 @@
 }
 
 // Rollout moves the traffic of a service to a new version until Deadline, or rolls
-// it back. CanaryFraction is the maximum fraction of the traffic that the new
-// version receives while it is tested. A cancelled rollout is rolled back.
+// it back. CanaryFraction is the maximum fraction of the requests since Start that the
+// new version receives until the rollout is done. A cancelled rollout is rolled back.
 type Rollout struct {
 	Name           string    `json:"name"`
 	Service        string    `json:"service"`
