Close connections in a stop whatever has begun to arrive

Reported: in a planned stop of one instance, in calm, requests that came late were passed on and cut at its end without an answer, not repeatable ones too.

Cause: an instance that stops let a connection stay open if the first bytes of the next request had arrived, and passed on whatever was whole, however late. A caller that always has them on the connection stayed to the end. Besides, the first response of pipelined requests closed the connection under the others.

Ruled out: relayed requests (a stopping instance takes none), the wait for responses (it ends at 0.95 of the grace, as planned).

Change: while the server drains, the last response to a request that was read closes the connection; what comes behind is discarded, which callers may send again elsewhere, as it has not been handled. From half of the grace on nothing is sent to targets: a late body gets 503, not run.

--- a/internal/call/caller/caller.go
+++ b/internal/call/caller/caller.go
@@ -82,8 +82,9 @@
 	}
 }
 
-// Drain closes idle connections and makes each further response close its connection,
-// unless the next request is already being received on it.
+// Drain closes idle connections. On each other one it lets the last response to a request
+// that has been read close the connection. A request behind that one, of which a part may
+// have arrived, is not handled; its caller sends it again on another connection.
 func (s *Server) Drain() {
 	s.mu.Lock()
 	s.draining = true
@@ -123,8 +124,9 @@
 
 // connection is one connection of a caller. inflight is the number of requests that
 // were read and whose response has not been sent. reading is set from the first byte
-// of a request until it has been read. closed is set once no further response may be
-// sent.
+// of a request until it has been read. ending is set once no further request is handled, if
+// one is: the last response closes the connection. closed is set once no further response
+// may be sent.
 type connection struct {
 	server *Server
 	conn   net.Conn
@@ -133,6 +135,7 @@
 	mu       sync.Mutex
 	inflight int
 	reading  bool
+	ending   bool
 	closed   bool
 }
 
@@ -168,6 +171,10 @@
 	c.server.remove(c)
 }
 
+// errNotHandled means that a request was read behind one whose response closes the
+// connection.
+var errNotHandled = errors.New("the connection closes after an earlier response")
+
 // readRequest reads the next request. The idle timeout applies until its first
 // byte and the receive timeout from then on.
 func (c *connection) readRequest() (*message.Request, time.Time, error) {
@@ -192,11 +199,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
-	if err != nil {
-		return nil, receivedAt, err
-	}
-	if c.closed {
+	c.ending = c.ending || c.server.isDraining()
+	switch {
+	case c.closed:
 		return nil, receivedAt, net.ErrClosed
+	case c.ending && c.inflight > 0:
+		c.updateIdleDeadlineLocked()
+		return nil, receivedAt, errNotHandled
+	case err != nil:
+		return nil, receivedAt, err
 	}
 	c.inflight++
 	c.server.requests.Add(1)
@@ -237,7 +248,8 @@
 		c.closeGracefullyLocked()
 		return
 	}
-	closeAfter := r.Close || resp.Close || (c.server.isDraining() && !c.reading)
+	c.ending = c.ending || c.server.isDraining()
+	closeAfter := r.Close || resp.Close || (c.ending && c.inflight == 0)
 	resp.Close = closeAfter
 	c.writeResponseLocked(resp, r.Method)
 	if closeAfter {
@@ -280,9 +292,15 @@
 
 // handleReadError ends a connection whose next request cannot be read. If the
 // request is malformed or too large, an error status is sent after the responses to
-// earlier requests. Any other error means that the caller has disconnected or timed
+// earlier requests. A request that is not handled is discarded with all that follows, until
+// the caller disconnects or the connection is closed. Any other error means that the caller has disconnected or timed
 // out, or that the connection is closed, and its other requests are cancelled.
 func (c *connection) handleReadError(cancel context.CancelFunc, previousSent <-chan struct{}, err error) {
+	if errors.Is(err, errNotHandled) {
+		c.discardInput()
+		c.handleDisconnect(cancel)
+		return
+	}
 	var formatErr *message.FormatError
 	if !errors.As(err, &formatErr) {
 		c.handleDisconnect(cancel)
--- a/internal/call/caller/caller_test.go
+++ b/internal/call/caller/caller_test.go
@@ -24,8 +24,21 @@
 	}
 }
 
+// shortReceiveTimeout is the time to receive a request by shortBounds.
+const shortReceiveTimeout = 50 * time.Millisecond
+
+func shortBounds() lacewingramp.Bounds {
+	b := bounds()
+	b.ReceiveTimeout = lacewingramp.Duration(shortReceiveTimeout)
+	return b
+}
+
 // startServer starts a server with the handler and connects to it.
 func startServer(h caller.Handler) (*caller.Server, net.Listener, net.Conn) {
+	return startBoundedServer(h, bounds)
+}
+
+func startBoundedServer(h caller.Handler, bounds func() lacewingramp.Bounds) (*caller.Server, net.Listener, net.Conn) {
 	s := &caller.Server{Handle: h, Bounds: bounds}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
@@ -128,6 +141,77 @@
 		gomega.Eventually(s.OpenConnections).Should(gomega.BeZero())
 	})
 
+	// Guards against a caller that keeps its connection through a stop, as some bytes of its
+	// next request have always arrived, until the process ends with its last one at work.
+	ginkgo.It("is closed by Drain after the response that it waits for, though its next request has begun", func() {
+		release := make(chan struct{})
+		handled := make(chan string, 2)
+		s, _, c := startServer(func(_ context.Context, r *message.Request, _ time.Time) *message.Response {
+			handled <- r.URI
+			<-release
+			return response(r.URI)
+		})
+		sendRequests(c, "/1")
+		_, err := io.WriteString(c, "GET /2 HT")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Eventually(handled).Should(gomega.HaveLen(1))
+		s.Drain()
+		close(release)
+		r := bufio.NewReader(c)
+		got, closes := readBody(r)
+		gomega.Expect(got).To(gomega.Equal("/1"))
+		gomega.Expect(closes).To(gomega.BeTrue())
+		_, _ = io.WriteString(c, "TP/1.1\r\nHost: h\r\n\r\n")
+		_, err = r.ReadByte()
+		gomega.Expect(err).To(gomega.HaveOccurred())
+		gomega.Expect(handled).To(gomega.HaveLen(1))
+		s.Wait()
+	})
+
+	// Guards against responses that are lost as the one before them closes the connection.
+	ginkgo.It("gets all responses to pipelined requests during Drain, and the last one closes it", func() {
+		release := make(chan struct{})
+		handled := make(chan string, 4)
+		s, _, c := startBoundedServer(func(_ context.Context, r *message.Request, _ time.Time) *message.Response {
+			handled <- r.URI
+			<-release
+			return response(r.URI)
+		}, shortBounds)
+		sendRequests(c, "/1", "/2", "/3")
+		gomega.Eventually(handled).Should(gomega.HaveLen(3))
+		s.Drain()
+		sendRequests(c, "/4")
+		gomega.Consistently(handled, 100*time.Millisecond).Should(gomega.HaveLen(3))
+		close(release)
+		r := bufio.NewReader(c)
+		for _, want := range []string{"/1", "/2", "/3"} {
+			got, closes := readBody(r)
+			gomega.Expect(got).To(gomega.Equal(want))
+			gomega.Expect(closes).To(gomega.Equal(want == "/3"))
+		}
+		_, err := r.ReadByte()
+		gomega.Expect(err).To(gomega.HaveOccurred())
+		gomega.Expect(handled).To(gomega.HaveLen(3))
+	})
+
+	ginkgo.It("cancels its requests when the caller disconnects during Drain", func() {
+		cancelled := make(chan struct{})
+		started := make(chan struct{})
+		s, _, c := startServer(func(ctx context.Context, _ *message.Request, _ time.Time) *message.Response {
+			close(started)
+			<-ctx.Done()
+			close(cancelled)
+			return nil
+		})
+		sendRequests(c, "/1")
+		gomega.Eventually(started).Should(gomega.BeClosed())
+		s.Drain()
+		sendRequests(c, "/2")
+		gomega.Consistently(cancelled, 100*time.Millisecond).ShouldNot(gomega.BeClosed())
+		_ = c.Close()
+		gomega.Eventually(cancelled).Should(gomega.BeClosed())
+	})
+
 	ginkgo.It("is closed by Drain at once when it is idle", func() {
 		s, _, c := startServer(func(context.Context, *message.Request, time.Time) *message.Response { return response("") })
 		gomega.Eventually(s.OpenConnections).Should(gomega.Equal(1))
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -151,6 +151,8 @@
 	startedAt   time.Time
 	ready       atomic.Bool
 	stopping    atomic.Bool
+	// sendUntil is until when requests are sent to targets, nil unless the instance stops.
+	sendUntil atomic.Pointer[time.Time]
 
 	loglimit loglimit.Limiter
 	// arrivals counts the requests received from callers since the last heartbeat.
--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -43,7 +43,7 @@
 		defer e.mu.Unlock()
 		e.poisonGuard.Finish(e.Timer.Now(), j.fingerprint, false)
 	}()
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !e.mayNotEnd() {
 		if e.shouldRelay(j) {
 			if resp := e.relay(ctx, j); resp != nil {
 				return resp
@@ -274,6 +274,9 @@
 		return e.fail(j, http.StatusBadGateway, lacewingramp.CauseTarget, "no whole answer")
 	}
 	e.refundQuota(j)
+	if e.mayNotEnd() {
+		return e.refuse(j, http.StatusServiceUnavailable, lacewingramp.CauseStopping, stoppingRetryAfter, "the instance is stopping")
+	}
 	if !j.allFull && j.pauseLeft > 0 {
 		return e.refuse(j, http.StatusServiceUnavailable, lacewingramp.CauseSlots, j.pauseLeft+fullRetryAfter(), "all targets have asked for a pause")
 	}
--- a/internal/entry/edge/edge_stop.go
+++ b/internal/entry/edge/edge_stop.go
@@ -12,6 +12,9 @@
 	// acceptFraction is how long new connections are still accepted from callers that
 	// have cached an older lookup.
 	acceptFraction = 0.3
+	// sendFraction is how long requests are still sent to targets. Those that are sent
+	// later may not end in time.
+	sendFraction = 0.5
 	// finishFraction is when the instance stops, even if requests are still running.
 	finishFraction = 0.95
 )
@@ -22,6 +25,8 @@
 func (e *Edge) stop(callerListener net.Listener) {
 	startedAt := e.Timer.Now()
 	e.stopping.Store(true)
+	sendUntil := startedAt.Add(time.Duration(float64(e.StopTimeout) * sendFraction))
+	e.sendUntil.Store(&sendUntil)
 	e.Log.Info().Int("connections", e.server.OpenConnections()).Msg("stopping")
 	e.mu.Lock()
 	h := e.newHeartbeat(startedAt)
@@ -51,5 +56,16 @@
 	e.Log.Info().Int("connections", e.server.OpenConnections()).Dur("took", e.Timer.Now().Sub(startedAt)).Msg("stopped")
 }
 
+// mayNotEnd reports whether the stop has come so far that a request sent to a target now may
+// not end before the instance does.
+func (e *Edge) mayNotEnd() bool {
+	until := e.sendUntil.Load()
+	return until != nil && !e.Timer.Now().Before(*until)
+}
+
+// stoppingRetryAfter is the delay after which a caller that an instance refuses as it stops
+// may retry, at another one.
+const stoppingRetryAfter = 100 * time.Millisecond
+
 // flushDelay lets the last responses reach their callers.
 const flushDelay = 100 * time.Millisecond
--- a/internal/entry/edge/edge_test.go
+++ b/internal/entry/edge/edge_test.go
@@ -1,9 +1,11 @@
 package edge_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -225,6 +227,26 @@
 		gomega.Expect(d.runs()).To(gomega.Equal(served.Load()))
 	})
 
+	// Guards against requests that are sent to a target late in a stop and cut at its end.
+	ginkgo.It("refuses a request whose body comes late in its stop, without sending it to a target", func() {
+		c, err := net.Dial("tcp4", d.callerAddresses[0])
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		defer func() { _ = c.Close() }()
+		_, err = io.WriteString(c, "POST /order/1 HTTP/1.1\r\nHost: h\r\nId: late-body\r\nKey: andes-key\r\nContent-Length: 4\r\n\r\n12")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		time.Sleep(50 * time.Millisecond)
+		d.stops[0]()
+		time.Sleep(stopTimeout*6/10 + 50*time.Millisecond)
+		_, err = io.WriteString(c, "34")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		_ = resp.Body.Close()
+		gomega.Expect(resp.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+		gomega.Expect(resp.Close).To(gomega.BeTrue())
+		gomega.Expect(d.runs()).To(gomega.BeZero())
+	})
+
 	ginkgo.It("responds at the deadline if a target does not", func() {
 		d.mode(modeSilence)
 		next := testTable(4)
--- a/internal/entry/edge/fakes_test.go
+++ b/internal/entry/edge/fakes_test.go
@@ -357,6 +357,9 @@
 	}}
 }
 
+// stopTimeout is how long an instance may take to stop.
+const stopTimeout = 2 * time.Second
+
 // start starts an instance that uses the given store.
 func (d *deployment) start(s edge.Store) *edge.Edge {
 	name := fmt.Sprint("edge-", len(d.edges))
@@ -369,7 +372,7 @@
 	regions := map[string]string{"a": "north", "b": "south"}
 	e := edge.New(edge.Settings{
 		Name: name, Domain: domain, Region: regions[domain], Regions: regions,
-		CallerAddress: caller, Peer: freeAddress(), Relay: freeAddress(), Bootstrap: true, StopTimeout: 2 * time.Second, MaxLookupTTL: 5 * time.Second,
+		CallerAddress: caller, Peer: freeAddress(), Relay: freeAddress(), Bootstrap: true, StopTimeout: stopTimeout, MaxLookupTTL: 5 * time.Second,
 		RetryRatio: 0.2, RetryExtra: 60, RetryWindow: 10 * time.Second, MaxCanaryFraction: 0.5,
 	}, edge.Dependencies{
 		Store: s, EventDecoder: codec{}, DocumentEncoder: codec{}, HeaderCodec: codec{}, Timer: wall.Timer{},
