Answer a request at work though its caller is slow to send the next one

Cause: the timeout of the next request counted as the caller's disconnection.

Change: the connection ends with the last response to a request that was read, and the incomplete one is dropped; without one at work it closes as before.

Test: caller 'gets the response that it waits for, though its next request does not arrive in time', three entries, all failed before.

--- a/internal/call/caller/caller.go
+++ b/internal/call/caller/caller.go
@@ -18,6 +18,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -199,7 +200,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
-	c.ending = c.ending || c.server.isDraining()
+	c.ending = c.ending || c.server.isDraining() || errors.Is(err, os.ErrDeadlineExceeded)
 	switch {
 	case c.closed:
 		return nil, receivedAt, net.ErrClosed
--- a/internal/call/caller/caller_test.go
+++ b/internal/call/caller/caller_test.go
@@ -212,6 +212,27 @@
 		gomega.Eventually(cancelled).Should(gomega.BeClosed())
 	})
 
+	// Guards against a request that is cut because the caller is slow to send the next one.
+	ginkgo.DescribeTable("gets the response that it waits for, though its next request does not arrive in time", func(begun string) {
+		release := make(chan struct{})
+		_, _, c := startBoundedServer(func(_ context.Context, r *message.Request, _ time.Time) *message.Response {
+			<-release
+			return response(r.URI)
+		}, shortBounds)
+		sendRequests(c, "/1")
+		_, err := io.WriteString(c, begun)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		time.Sleep(3 * shortReceiveTimeout)
+		close(release)
+		got, closes := readBody(bufio.NewReader(c))
+		gomega.Expect(got).To(gomega.Equal("/1"))
+		gomega.Expect(closes).To(gomega.BeTrue())
+	},
+		ginkgo.Entry("after a part of its first line", "GET /2 HT"),
+		ginkgo.Entry("after its first line", "GET /2 HTTP/1.1\r\n"),
+		ginkgo.Entry("after a part of its body", "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n12"),
+	)
+
 	ginkgo.It("is closed by Drain at once when it is idle", func() {
 		s, _, c := startServer(func(context.Context, *message.Request, time.Time) *message.Response { return response("") })
 		gomega.Eventually(s.OpenConnections).Should(gomega.Equal(1))
--- a/internal/call/message/message.go
+++ b/internal/call/message/message.go
@@ -21,6 +21,7 @@
 	"io"
 	"net/http"
 	"net/textproto"
+	"os"
 	"strconv"
 	"strings"
 
@@ -128,6 +129,10 @@
 		return nil, &FormatError{Status: http.StatusRequestHeaderFieldsTooLarge, Detail: "request header too large"}
 	}
 	r.limit.remaining = -1
+	if err != nil && errors.Is(r.limit.err, os.ErrDeadlineExceeded) {
+		// A part of a line that arrived in time looks like a malformed one.
+		return nil, r.limit.err
+	}
 	if err != nil {
 		return nil, requestError(err)
 	}
