Compare responses also where no object is requested twice

Change: responses for objects that an instance has not sent before are compared with others of that kind if there are none for known objects; fast failures no longer count as compared.

--- a/internal/change/rollout/latency.go
+++ b/internal/change/rollout/latency.go
@@ -9,9 +9,9 @@
 
 // A response is compared with the old version's responses of the same time and population:
 // on the same route, from targets of the same region that were neither cold nor busy, for
-// objects that this instance has sent to the same target before. Responses of busy targets
-// are compared for the old version only, less the time that they may have waited for a slot,
-// as slow targets are busy.
+// objects that this instance has sent to the same target before, or, if it has sent no object
+// twice, for new ones. Responses of busy targets are compared for the old version only, less
+// the time that they may have waited for a slot, as slow targets are busy.
 const (
 	// slowFactor is the ratio to the old version's median latency above which a response
 	// counts as slow.
@@ -54,6 +54,8 @@
 type population struct {
 	route  string
 	region string
+	// known is set if the instance had sent the object to the target before.
+	known bool
 }
 
 // placed is an object at one run of a target.
@@ -81,25 +83,41 @@
 	took    time.Duration
 }
 
-// compare returns how fast a response was, and records it if the old version sent it.
+// compare returns how fast a response was, and records it if the old version sent it. A
+// failure that came fast tells nothing of the latency.
 func (l *latencies) compare(a *lacewingramp.AttemptResult, old bool) speed {
 	known := l.isKnown(a)
-	if !a.Failed && !a.Unfinished {
+	responded := !a.Failed && !a.Unfinished
+	if responded {
 		l.markKnown(a)
 	}
 	busy := a.Load > maxIdleLoad
 	if a.WarmingUp || (busy && !old) || (a.Object == "" && !known) {
 		return unknownSpeed
 	}
-	p := population{route: a.Route, region: a.Region}
-	median, ok := l.median(p, a.EndedAt)
-	if old && known && !busy && !a.Failed && !a.Unfinished {
+	p := population{route: a.Route, region: a.Region, known: known}
+	median, ok := l.reference(p, a.EndedAt)
+	if old && !busy && responded {
 		l.record(p, sample{endedAt: a.EndedAt, took: a.Took})
 	}
 	if !ok {
 		return unknownSpeed
 	}
-	return rate(a, known, median)
+	result := rate(a, known, median)
+	if a.Failed && result != slow {
+		return unknownSpeed
+	}
+	return result
+}
+
+// reference returns the median that a response is compared with. For an object that was not
+// known it is that of known objects, or else of others that were not known.
+func (l *latencies) reference(p population, now time.Time) (time.Duration, bool) {
+	knownObjects := population{route: p.route, region: p.region, known: true}
+	if median, ok := l.median(knownObjects, now); ok || p.known {
+		return median, ok
+	}
+	return l.median(p, now)
 }
 
 // rate rates the latency of a response by the median of its population. If the object was
