--- a/internal/change/rollout/evidence.go
+++ b/internal/change/rollout/evidence.go
@@ -37,8 +37,8 @@
 // versionGroups are the counts of one version by group of targets.
 type versionGroups [lacewingramp.TargetGroups]counters
 
-// counters are numbers of attempts. Of the old version they fade with time. compared is the
-// number of attempts whose latency could be compared with the old version's.
+// counters are numbers of attempts, as in lacewingramp.TargetGroup. Those of the old version
+// fade with time, so they are fractions.
 type counters struct {
 	count    float64
 	failures float64
--- a/internal/change/rollout/fault.go
+++ b/internal/change/rollout/fault.go
@@ -18,7 +18,8 @@
 //
 // A faulty version is faulty on all its targets, while a few targets may be slow or fail in
 // any version. The groups of the new version's targets with the most faults are therefore
-// left out: one always, and twice the fraction that is faulty of the old version's groups.
+// left out: twice the fraction that is faulty of the old version's groups. Of the others, none
+// counts for more than all the rest together.
 const (
 	// failureRateShift and slowRateShift are how much higher the rates of failures
 	// and of slow responses of a faulty version are assumed to be, as fractions of
@@ -96,8 +97,8 @@
 	slowFault
 )
 
-// of returns the number of faults of a kind, and that of the attempts that could show it.
-func (k faultKind) of(c counters) (faults, count float64) {
+// counts returns the number of faults of a kind, and that of the attempts that could show it.
+func (k faultKind) counts(c counters) (faults, count float64) {
 	if k == failureFault {
 		return c.failures, c.count
 	}
@@ -117,7 +118,7 @@
 func (r *rollout) faultyGroups(k faultKind) (faulty [lacewingramp.TargetGroups]bool, fraction float64) {
 	var rates []float64
 	for _, c := range r.all.old {
-		if faults, count := k.of(c); count >= 1 {
+		if faults, count := k.counts(c); count >= 1 {
 			rates = append(rates, faults/count)
 		}
 	}
@@ -128,7 +129,7 @@
 	limit := math.Max(minGroupRate, groupRateFactor*rates[(len(rates)-1)/2])
 	n := 0
 	for i, c := range r.all.old {
-		faults, count := k.of(c)
+		faults, count := k.counts(c)
 		if faulty[i] = faults >= minGroupFaults && faults >= limit*count; faulty[i] {
 			n++
 		}
@@ -146,7 +147,7 @@
 	faults, count := priorFaultRate*priorRequests, float64(priorRequests)
 	for i, c := range e.old {
 		if !faulty[i] {
-			f, n := k.of(c)
+			f, n := k.counts(c)
 			faults += f
 			count += n
 		}
@@ -166,7 +167,7 @@
 	var groups float64
 	var values []float64
 	for i, s := range sums {
-		if _, count := k.of(e.new[i]); count > 0 {
+		if _, count := k.counts(e.new[i]); count > 0 {
 			groups++
 		}
 		if !s.faultAt.Before(since) {
@@ -214,7 +215,7 @@
 	if k == failureFault {
 		return true
 	}
-	faults, count := k.of(e.latest)
+	faults, count := k.counts(e.latest)
 	return faults >= (r.toleratedRate(e, k)+k.shift()/2)*count
 }
 
@@ -260,8 +261,8 @@
 	if k == slowFault {
 		verb = "slow"
 	}
-	faults, count := k.of(e.new.total())
-	oldFaults, oldCount := k.of(e.old.total())
+	faults, count := k.counts(e.new.total())
+	oldFaults, oldCount := k.counts(e.old.total())
 	return fmt.Sprintf("%s on %s: %.0f of %.0f, the old version lately %.0f of %.0f", verb, where, faults, count, oldFaults, oldCount)
 }
 
