Do not compare responses of targets that have just started; test large fleets under load evenly

Cause: a target is about twice as slow for some seconds after its start, as it is in any version, and on a large site targets start over seven seconds. And the ramp sent the requests of all 82 instances to the few targets that rank first for a single object, which overloaded them.

Change: a response is not compared if its request was sent within 4 s of its target's start; the ramp uses one made-up object for every twelve targets of the version.

Ruled out: spreading the ramp over all targets.

--- a/internal/change/rollout/latency.go
+++ b/internal/change/rollout/latency.go
@@ -30,6 +30,8 @@
 	minSamples = 3
 	// maxSampleAge is how long a response is used for comparison.
 	maxSampleAge = 10 * time.Second
+	// startupTime is how long a target may be slow after its start.
+	startupTime = 4 * time.Second
 	// warmupTime is how long after this instance's first response from a target those to
 	// requests without an object are not compared.
 	warmupTime = 2 * time.Second
@@ -92,7 +94,7 @@
 		l.markKnown(a)
 	}
 	busy := a.Load > maxIdleLoad
-	if a.WarmingUp || (busy && !old) || (a.Object == "" && !known) {
+	if a.WarmingUp || justStarted(a) || (busy && !old) || (a.Object == "" && !known) {
 		return unknownSpeed
 	}
 	p := population{route: a.Route, region: a.Region, known: known}
@@ -110,6 +112,12 @@
 	return result
 }
 
+// justStarted reports whether the request was sent to a target that had started shortly
+// before, by the target's word.
+func justStarted(a *lacewingramp.AttemptResult) bool {
+	return a.EndedAt.Add(-a.Took).Sub(time.UnixMilli(a.StartMillis)) < startupTime
+}
+
 // reference returns the median that a response is compared with. For an object that was not
 // known it is that of known objects, or else of others that were not known.
 func (l *latencies) reference(p population, now time.Time) (time.Duration, bool) {
--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -4,8 +4,10 @@
 	"context"
 	"maps"
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"lacewingramp.example/lacewingramp"
@@ -21,9 +23,9 @@
 	// crashCheckTimeout is how long a target has to accept a new connection after one
 	// broke. Otherwise it counts as crashed.
 	crashCheckTimeout = 200 * time.Millisecond
-	// concentratedObject stands for all objects while a new version is tested under load:
-	// each region's requests go to the few targets that rank first for it.
-	concentratedObject = "rollout"
+	// targetsPerConcentrated is the number of targets of a new version for each object that
+	// stands for many while the version is tested under load.
+	targetsPerConcentrated = 12
 	// minTimeLeft is the minimum time to the deadline for another attempt.
 	minTimeLeft = 5 * time.Millisecond
 )
@@ -94,7 +96,7 @@
 	prefer, fallback := e.chooseVersions(now, j)
 	q.Version = prefer
 	if prefer != fallback && e.rollouts.Concentrates(now, j.service) {
-		q.Object = concentratedObject
+		q.Object = e.concentratedObject(j, prefer)
 	}
 	choice := e.placer.Choose(now, q)
 	if choice.Target == nil && fallback != prefer {
@@ -121,6 +123,13 @@
 	return choice, true
 }
 
+// concentratedObject returns an object that stands for many, so that their requests go to the
+// few targets of the version that rank first for it in each region.
+func (e *Edge) concentratedObject(j *job, version string) string {
+	objects := max(1, e.placer.VersionTargets(j.service, version)/targetsPerConcentrated)
+	return "rollout-" + strconv.FormatUint(xxhash.Sum64String(j.headers.Object)%uint64(objects), 10)
+}
+
 // send sends a request to the chosen target.
 func (e *Edge) send(ctx context.Context, j *job, c placement.Choice) attempt {
 	e.mu.Lock()
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -266,6 +266,16 @@
 	return all
 }
 
+// VersionTargets returns the number of a service's targets that have a version.
+func (p *Placer) VersionTargets(service, version string) (n int) {
+	for _, t := range p.services[service] {
+		if t.Version == version {
+			n++
+		}
+	}
+	return n
+}
+
 // Choose picks a target with free capacity and counts the request as in flight
 // there until Done or Cancel is called. It does not count a request whose Choice has
 // NeedsProbe or NeedsToken set.
