Do not keep a new version that fails on the few targets that were under load

Cause: the ramp loads few targets, and no group of targets counts for more than all others together, so that failures on the only loaded ones counted for nothing.

Change: a rollout is not done if the new version has failed more often than the old one, whatever the targets.

Test: 'a rollout is rolled back if the new version fails on the one target that is under load', failed before.

--- a/internal/change/rollout/fault.go
+++ b/internal/change/rollout/fault.go
@@ -295,6 +295,14 @@
 	return r.all.new.total().compared
 }
 
+// failsMore reports whether the new version has failed more often than the old one, whatever
+// the targets: it may have been under load on a few only.
+func (r *rollout) failsMore() bool {
+	added, old := r.all.new.total(), r.all.old.total()
+	tolerated := old.failures/max(1, old.count)*rateTolerance + failureRateShift/2
+	return added.failures >= minFailures && added.failures >= tolerated*added.count
+}
+
 // thinAndSlow reports whether few responses could be compared and too many of them were slow.
 func (r *rollout) thinAndSlow() bool {
 	c := r.all.new.total()
--- a/internal/change/rollout/load_test.go
+++ b/internal/change/rollout/load_test.go
@@ -38,3 +38,24 @@
 	ginkgo.Entry("is rolled back if too few were at the usual load", minDoneLoaded-1, string(StateRolledBack)),
 	ginkgo.Entry("is done if enough were at the usual load", minDoneLoaded, string(StateDone)),
 )
+
+// Guards against a version that fails under load and is done, as it was under load on one
+// target only. The users' bench, kavach-harness, trouble-2, seed 662548207658.
+var _ = ginkgo.It("a rollout is rolled back if the new version fails on the one target that is under load", func() {
+	const failures = 12
+	m := newFleet(1, fleetScenario{}).managers[0]
+	for now := start; !now.After(start.Add(fleetWindow)); now = now.Add(fleetExchange) {
+		observeFast(m, now, oldVersion, 0.6, 40)
+		observeFast(m, now, newVersion, 0.2, 2)
+		if m.Concentrates(now, service) {
+			observeFast(m, now, newVersion, 0.6, minDoneLoaded)
+			for range failures {
+				m.Observe(lacewingramp.AttemptResult{
+					Route: "read", Service: service, Version: newVersion, Target: "loaded", Load: 1, Failed: true, EndedAt: now, Took: 50 * time.Millisecond,
+				})
+			}
+		}
+		m.Tick(now)
+	}
+	gomega.Expect(m.Statuses(start)[0].State).To(gomega.Equal(StateRolledBack))
+})
--- a/internal/change/rollout/rollout.go
+++ b/internal/change/rollout/rollout.go
@@ -254,7 +254,7 @@
 // clear reports whether there is enough evidence and none against the new version.
 func (r *rollout) clear(now time.Time) bool {
 	total := r.all.new.total()
-	return total.compared >= minDoneCompared && total.loaded >= minDoneLoaded && !r.thinAndSlow() && !r.suspected(now)
+	return total.compared >= minDoneCompared && total.loaded >= minDoneLoaded && !r.thinAndSlow() && !r.failsMore() && !r.suspected(now)
 }
 
 // ResumeRamp moves a rollout to its ramp state, to which other instances moved it at
