--- a/internal/call/caller/caller.go
+++ b/internal/call/caller/caller.go
@@ -294,8 +294,9 @@
 // handleReadError ends a connection whose next request cannot be read. If the
 // request is malformed or too large, an error status is sent after the responses to
 // earlier requests. A request that is not handled is discarded with all that follows, until
-// the caller disconnects or the connection is closed. Any other error means that the caller has disconnected or timed
-// out, or that the connection is closed, and its other requests are cancelled.
+// the caller disconnects or the connection is closed. Any other error means that the
+// caller has disconnected or timed out, or that the connection is closed, and its other
+// requests are cancelled.
 func (c *connection) handleReadError(cancel context.CancelFunc, previousSent <-chan struct{}, err error) {
 	if errors.Is(err, errNotHandled) {
 		c.discardInput()
