Log outcomes of rollouts that come from a peer or from the store

The incident's logs show the state of a rollout at each instance, but not where it comes from and what it replaced, so that an outcome of one instance that overrules the record cannot be told from a record that changed. No change of behaviour.

--- a/internal/change/rollout/evidence.go
+++ b/internal/change/rollout/evidence.go
@@ -208,10 +208,14 @@
 	}
 }
 
-// Record merges the stats and the outcomes that another instance has reported.
-func (m *Manager) Record(reports []lacewingramp.RolloutStats, outcomes []lacewingramp.RolloutOutcome) {
+// Record merges the stats and the outcomes that another instance has reported. It returns
+// the outcomes that this changes.
+func (m *Manager) Record(reports []lacewingramp.RolloutStats, outcomes []lacewingramp.RolloutOutcome) []Adoption {
+	var adopted []Adoption
 	for _, o := range outcomes {
-		m.ApplyOutcome(o)
+		if a, ok := m.ApplyOutcome(o); ok {
+			adopted = append(adopted, a)
+		}
 	}
 	for _, s := range reports {
 		r, ok := m.rollouts[s.Rollout]
@@ -220,6 +224,7 @@
 		}
 		r.merge(statsKey{instance: s.Instance, route: s.Route, version: s.Version}, s)
 	}
+	return adopted
 }
 
 // RolloutStats returns this instance's own stats of the rollouts that have not ended,
--- a/internal/change/rollout/rollout.go
+++ b/internal/change/rollout/rollout.go
@@ -38,6 +38,8 @@
 	"sort"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"lacewingramp.example/lacewingramp"
 	"lacewingramp.example/lacewingramp/internal/change/chart"
 )
@@ -280,15 +282,33 @@
 	return all
 }
 
+// Adoption is an outcome that this instance has taken over from another one or from the
+// store, and the state of the rollout that it replaced.
+type Adoption struct {
+	lacewingramp.RolloutOutcome
+	Replaced chart.State
+}
+
+// MarshalZerologObject adds the outcome to a log line.
+func (a Adoption) MarshalZerologObject(event *zerolog.Event) {
+	event.Str("rollout", a.Rollout).Str("state", a.State).Str("replaced", string(a.Replaced)).Str("reason", a.Reason).Time("decided", a.DecidedAt)
+}
+
 // ApplyOutcome records an outcome from another instance or from the store. A
-// rollback overrides any other outcome. Otherwise the first outcome stands.
-func (m *Manager) ApplyOutcome(o lacewingramp.RolloutOutcome) {
+// rollback overrides any other outcome. Otherwise the first outcome stands. It returns false
+// if the outcome changes nothing.
+func (m *Manager) ApplyOutcome(o lacewingramp.RolloutOutcome) (Adoption, bool) {
 	k := rolloutID(o.Rollout, o.Start)
 	if old, ok := m.outcomes[k]; ok && (old.State == o.State || o.State != string(StateRolledBack)) {
-		return
+		return Adoption{}, false
+	}
+	a := Adoption{RolloutOutcome: o}
+	if r, ok := m.rollouts[k]; ok {
+		a.Replaced = r.state
 	}
 	m.outcomes[k] = o
 	m.applyOutcomes()
+	return a, true
 }
 
 // Status is the state of a rollout as shown to operators. Requests is the number of
--- a/internal/entry/edge/edge_heartbeat.go
+++ b/internal/entry/edge/edge_heartbeat.go
@@ -131,7 +131,9 @@
 	}
 	e.handleDemand(h)
 	e.poisonGuard.Merge(now, h.CrashCounts)
-	e.rollouts.Record(h.RolloutStats, h.Outcomes)
+	for _, a := range e.rollouts.Record(h.RolloutStats, h.Outcomes) {
+		e.logAdoption(a, h.Endpoint.Name)
+	}
 }
 
 // handleDemand records the demand of a peer or of another region. While the sender's
--- a/internal/entry/edge/edge_rollout.go
+++ b/internal/entry/edge/edge_rollout.go
@@ -230,9 +230,17 @@
 	if o.storedStatus == nil || o.startAt.IsZero() || o.storedStatus.State == lacewingramp.StatusRunning {
 		return
 	}
-	e.rollouts.ApplyOutcome(lacewingramp.RolloutOutcome{
+	a, changed := e.rollouts.ApplyOutcome(lacewingramp.RolloutOutcome{
 		Rollout: o.rolloutName(), Start: o.startAt, State: o.storedStatus.State, Reason: "as the store has it", DecidedAt: now,
 	})
+	if changed {
+		e.logAdoption(a, "store")
+	}
+}
+
+// logAdoption logs an outcome that comes from a peer or from the store.
+func (e *Edge) logAdoption(a rollout.Adoption, source string) {
+	e.Log.Info().EmbedObject(a).Str("from", source).Msg("rollout outcome adopted")
 }
 
 // localStatus returns the status of an order's rollout as this instance knows it. The
--- a/internal/entry/instance/instance_digest.go
+++ b/internal/entry/instance/instance_digest.go
@@ -116,15 +116,16 @@
 	i.State.Roster.Record(now, d)
 	i.State.Guard.Merge(now, d.CrashCounts)
 	i.State.Quota.Record(d.Name, d.Spares)
-	i.State.Rollouts.Record(d.RolloutStats, d.Outcomes)
+	adopted := i.State.Rollouts.Record(d.RolloutStats, d.Outcomes)
 	for _, relayed := range d.Relayed {
-		i.State.Rollouts.Record(relayed.Digest.RolloutStats, relayed.Digest.Outcomes)
+		adopted = append(adopted, i.State.Rollouts.Record(relayed.Digest.RolloutStats, relayed.Digest.Outcomes)...)
 	}
 	revision := int64(0)
 	if tableIndex := i.State.Index(); tableIndex != nil {
 		revision = tableIndex.Table.Revision
 	}
 	i.State.Unlock()
+	i.logAdoptions(adopted, d.Name)
 	if d.Revision > revision {
 		i.fetchTableFromPeer(d.Endpoint)
 	}
--- a/internal/entry/instance/instance_rollout.go
+++ b/internal/entry/instance/instance_rollout.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/change/rollout"
 )
 
 // handleOutcomes sends the outcomes of rollouts to the other instances immediately and
@@ -20,6 +21,13 @@
 	i.startTask("save outcomes", i.saveOutcomes)
 }
 
+// logAdoptions logs outcomes that come from a peer or from the store.
+func (i *Instance) logAdoptions(adopted []rollout.Adoption, source string) {
+	for _, a := range adopted {
+		i.Log.Info().EmbedObject(a).Str("from", source).Msg("rollout outcome adopted")
+	}
+}
+
 func outcomeKey(o lacewingramp.RolloutOutcome) string {
 	return lacewingramp.KeyRollouts + o.Rollout + "@" + o.Start.UTC().Format(time.RFC3339)
 }
@@ -53,8 +61,9 @@
 		var saved lacewingramp.RolloutOutcome
 		if json.Unmarshal(item.Value, &saved) == nil {
 			i.State.Lock()
-			i.State.Rollouts.ApplyOutcome(saved)
+			adopted := i.State.Rollouts.Record(nil, []lacewingramp.RolloutOutcome{saved})
 			i.State.Unlock()
+			i.logAdoptions(adopted, "store")
 			if saved.State == o.State || o.State != "rolledback" {
 				return true
 			}
@@ -85,13 +94,16 @@
 		i.faults.Store.Add(1)
 		return
 	}
-	i.State.Lock()
+	var outcomes []lacewingramp.RolloutOutcome
 	for _, item := range items {
 		var o lacewingramp.RolloutOutcome
 		if json.Unmarshal(item.Value, &o) == nil {
-			i.State.Rollouts.ApplyOutcome(o)
+			outcomes = append(outcomes, o)
 		}
 	}
+	i.State.Lock()
+	adopted := i.State.Rollouts.Record(nil, outcomes)
 	i.State.Unlock()
+	i.logAdoptions(adopted, "store")
 	i.startTask("save outcomes", i.saveOutcomes)
 }
