--- a/internal/entry/edge/edge_rollout.go
+++ b/internal/entry/edge/edge_rollout.go
@@ -274,6 +274,14 @@
 
 // tickRollouts advances the rollouts and writes the records that the store lacks.
 func (e *Edge) tickRollouts(ctx context.Context, now time.Time) {
+	for _, o := range e.advanceRollouts(now) {
+		go e.write(ctx, o, o.pending)
+	}
+}
+
+// advanceRollouts advances the rollouts. It returns the orders of which this instance has to
+// write the pending record now, and marks these as being written.
+func (e *Edge) advanceRollouts(now time.Time) (due []*order) {
 	for _, o := range e.rollouts.Tick(now) {
 		e.Log.Info().Str("rollout", o.Rollout).Str("state", o.State).Str("reason", o.Reason).Msg("rollout decided")
 	}
@@ -289,9 +297,10 @@
 		}
 		if w.key != "" && !o.writing && e.shouldWrite(now, o) {
 			o.writing = true
-			go e.write(ctx, o, w)
+			due = append(due, o)
 		}
 	}
+	return due
 }
 
 // pendingWrite returns the write of the next record that the store lacks for an order:
@@ -359,7 +368,11 @@
 		e.Log.Warn().Err(err).Str("key", w.key).Msg("could not write a rollout record")
 	}
 	e.Log.Info().Str("key", w.key).Bool("written", err == nil).Str("value", w.value).Msg("rollout written")
-	// Give the mirror time to receive the write before writing again.
+	e.endWrite(o)
+}
+
+// endWrite ends a write after the mirror has had time to receive it.
+func (e *Edge) endWrite(o *order) {
 	e.Timer.After(heartbeat.Period, func(time.Time) {
 		e.mu.Lock()
 		defer e.mu.Unlock()
--- a/internal/entry/edge/fleet_test.go
+++ b/internal/entry/edge/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"runtime"
@@ -49,12 +50,16 @@
 	instances []*simulatedInstance
 	byAddress map[string]*simulatedInstance
 	revision  int64
+	// changes are the store's changes that have a content, in order.
+	changes []lacewingramp.Change
 	// storeCalls counts the calls to the store other than renewals.
 	storeCalls int
 	// checks counts the checks of the store by instances that follow a peer.
 	checks int
 	// cutOff holds the failure domain that is cut off from all others, "" for none.
 	cutOff string
+	// onTick is called before each instance's tick, nil for none.
+	onTick func(s *simulatedInstance, now time.Time)
 }
 
 // simulatedInstance is an instance of a simulatedFleet.
@@ -63,6 +68,10 @@
 	fleet *simulatedFleet
 	// silentFrom is when the store stops to answer this instance, zero for never.
 	silentFrom time.Time
+	// pausedUntil is until when the process is paused.
+	pausedUntil time.Time
+	// writes are the writes that are on their way to the store.
+	writes []simulatedWrite
 	// earlier is set for an instance of an earlier program, which knows of no confirmations.
 	earlier   bool
 	nextTick  time.Time
@@ -93,6 +102,15 @@
 	heartbeat *lacewingramp.Heartbeat
 }
 
+// simulatedWrite is a record that an instance writes to the store, if that has still the
+// revision base of its key when it is due.
+type simulatedWrite struct {
+	due   time.Time
+	order *order
+	write write
+	base  int64
+}
+
 // ignoreChanges decodes each change as one of an unknown kind.
 type ignoreChanges struct{}
 
@@ -155,11 +173,37 @@
 	for end := f.timer.Now().Add(d); f.timer.Now().Before(end); {
 		f.timer.Advance(simulationStep)
 		for _, s := range f.instances {
-			s.step(f.timer.Now())
+			if now := f.timer.Now(); !now.Before(s.pausedUntil) {
+				s.wake(now)
+				s.step(now)
+			}
 		}
 	}
 }
 
+// put changes a key of the store.
+func (f *simulatedFleet) put(key string, event lacewingramp.StoreEvent) {
+	value, err := json.Marshal(event)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	f.change(lacewingramp.Change{KeyValue: lacewingramp.KeyValue{Key: key, Value: value}})
+}
+
+func (f *simulatedFleet) change(c lacewingramp.Change) {
+	f.revision++
+	c.Revision = f.revision
+	f.changes = append(f.changes, c)
+}
+
+// latest returns the latest change of a key.
+func (f *simulatedFleet) latest(key string) (c lacewingramp.Change) {
+	for _, one := range f.changes {
+		if one.Key == key {
+			c = one
+		}
+	}
+	return c
+}
+
 // behind returns the names of the instances that reach the store and are not at its
 // latest revision.
 func (f *simulatedFleet) behind() (names []string) {
@@ -188,6 +232,16 @@
 	return s.silentFrom.IsZero() || now.Before(s.silentFrom)
 }
 
+// wake lets the first tick that was due in a pause run before anything that has arrived.
+func (s *simulatedInstance) wake(now time.Time) {
+	if s.pausedUntil.IsZero() {
+		return
+	}
+	s.pausedUntil = time.Time{}
+	s.tickFollowing(now)
+	s.nextTick = now.Add(250 * time.Millisecond)
+}
+
 func (s *simulatedInstance) step(now time.Time) {
 	s.heartbeats = slices.DeleteFunc(s.heartbeats, func(h delayedHeartbeat) bool {
 		if now.Before(h.due) {
@@ -200,6 +254,7 @@
 	s.stepCatchUp(now)
 	s.stepCheck(now)
 	s.stepCall(now)
+	s.stepWrites(now)
 	if !now.Before(s.nextTick) {
 		s.nextTick = s.nextTick.Add(250 * time.Millisecond)
 		s.tickFollowing(now)
@@ -208,7 +263,14 @@
 
 // tickFollowing does the part of a tick that concerns the store's changes.
 func (s *simulatedInstance) tickFollowing(now time.Time) {
+	if s.fleet.onTick != nil {
+		s.fleet.onTick(s, now)
+	}
 	s.updateFollowAddress(now)
+	for _, o := range s.advanceRollouts(now) {
+		known, _ := s.mirror.KeyValue(o.pending.key)
+		s.writes = append(s.writes, simulatedWrite{due: now.Add(otherRegionDelay), order: o, write: o.pending, base: known.Revision})
+	}
 	own, others := s.peers.NextRound()
 	h := s.newHeartbeat(now)
 	if s.earlier {
@@ -236,6 +298,20 @@
 	}
 }
 
+// stepWrites lets the writes arrive at the store that are due.
+func (s *simulatedInstance) stepWrites(now time.Time) {
+	s.writes = slices.DeleteFunc(s.writes, func(w simulatedWrite) bool {
+		if now.Before(w.due) {
+			return false
+		}
+		if s.reachesStoreAt(now) && s.fleet.latest(w.write.key).Revision == w.base {
+			s.fleet.change(lacewingramp.Change{KeyValue: lacewingramp.KeyValue{Key: w.write.key, Value: []byte(w.write.value)}})
+		}
+		s.endWrite(w.order)
+		return true
+	})
+}
+
 // stepCheck ends a check of the store.
 func (s *simulatedInstance) stepCheck(now time.Time) {
 	if s.checkEnds.IsZero() || now.Before(s.checkEnds) {
@@ -337,9 +413,22 @@
 func (s *simulatedInstance) take(revision int64) {
 	position := lacewingramp.Position{Revision: revision}
 	changes := []lacewingramp.Change{{KeyValue: lacewingramp.KeyValue{Key: "table", Revision: revision}}}
+	if len(s.fleet.changes) > 0 {
+		changes = s.fleet.changesBetween(s.mirror.Position().Revision, revision)
+	}
 	s.update(func() []lacewingramp.Change { return s.mirror.Apply(changes, position) })
 }
 
+// changesBetween returns the changes after a revision, up to another one.
+func (f *simulatedFleet) changesBetween(after, last int64) (changes []lacewingramp.Change) {
+	for _, c := range f.changes {
+		if c.Revision > after && c.Revision <= last {
+			changes = append(changes, c)
+		}
+	}
+	return changes
+}
+
 // changeInSilence lets the store fall silent for half of the fleet and then change. It
 // returns the instances that reach the store and do not have the change in time.
 func (f *simulatedFleet) changeInSilence(within time.Duration) []string {
