Let rollouts run on the time since the order, not on the time of day

A good version was not done in time where the clocks of some machines were ahead: callers saw nothing, the operator a rollout that came back. Cause: the recorded start is a time of day of one machine, and the others compared their own with it. A clock 8 s ahead passes the deadline 8 s early, and the rollback that follows is recorded before the others are done.

An instance that has seen the order as it was given starts the window then, by its own monotonic clock; the recorded start stays the name of the rollout and serves instances that start later.

--- a/internal/change/rollout/outcome.go
+++ b/internal/change/rollout/outcome.go
@@ -117,7 +117,7 @@
 func (m *Manager) AwaitsRecord(now time.Time) bool {
 	for _, k := range m.order {
 		r := m.rollouts[k]
-		inTime := now.Before(r.row.Deadline) && (r.state != StateCanary || now.Before(r.timeAt(canaryDeadline)))
+		inTime := now.Before(r.deadline) && (r.state != StateCanary || now.Before(r.timeAt(canaryDeadline)))
 		if _, decided := m.outcomes[k]; !decided && !inTime {
 			return true
 		}
--- a/internal/change/rollout/rollout.go
+++ b/internal/change/rollout/rollout.go
@@ -69,13 +69,16 @@
 }
 
 // rollout is the state of one rollout at this instance. row is its row in the Table,
-// and old the version that the service had before it. rampStarted is when it left the
-// canary state for the ramp state, or zero. all and routes are the evidence of all instances,
+// and old the version that the service had before it. start and deadline are those of the row
+// by this instance's clock. rampStarted is when it left the canary state for the ramp state,
+// or zero. all and routes are the evidence of all instances,
 // together and by route, and evaluatedAt when it was last evaluated. statsByKey holds the
 // latest stats of each instance.
 type rollout struct {
 	row         lacewingramp.Rollout
 	old         string
+	start       time.Time
+	deadline    time.Time
 	state       chart.State
 	reason      string
 	rampStarted time.Time
@@ -136,17 +139,26 @@
 		r, ok := known[k]
 		if !ok {
 			r = &rollout{
-				state: stateChart.Initial, routes: make(map[string]*route),
+				state: stateChart.Initial, start: row.Start, routes: make(map[string]*route),
 				statsByKey: make(map[statsKey]lacewingramp.RolloutStats), unfinished: make(map[string]int64),
 			}
 		}
 		r.row = row
+		r.deadline = r.start.Add(r.window())
 		m.rollouts[k] = r
 		m.order = append(m.order, k)
 	}
 	m.applyOutcomes()
 }
 
+// SetStart sets when a rollout started by this instance's clock, if that differs from the
+// clock by which the start in the Table was set.
+func (m *Manager) SetStart(name string, start, own time.Time) {
+	if r, ok := m.rollouts[rolloutID(name, start)]; ok {
+		r.start, r.deadline = own, own.Add(r.window())
+	}
+}
+
 // active returns the first rollout of a service that is in its canary or ramp
 // state, or nil.
 func (m *Manager) active(service string) *rollout {
@@ -217,7 +229,7 @@
 	if r.row.Cancelled {
 		return r.rollBack(now, "cancel", "cancelled by an operator")
 	}
-	if r.state == StatePlanned && !now.Before(r.row.Start) {
+	if r.state == StatePlanned && !now.Before(r.start) {
 		r.transition(now, "start", "")
 	}
 	if reason, bad := r.findFault(); bad {
@@ -233,7 +245,7 @@
 		return r.rollBack(now, "late", "not done by its deadline")
 	case r.state == StateCanary && !recordsAt.Before(r.timeAt(canaryDeadline)):
 		return r.rollBack(now, "late", "too little evidence")
-	case r.state == StateRamp && !now.Before(r.timeAt(earliestDone)) && now.Before(r.row.Deadline) && r.clear(now):
+	case r.state == StateRamp && !now.Before(r.timeAt(earliestDone)) && now.Before(r.deadline) && r.clear(now):
 		return StateDone
 	}
 	return ""
@@ -248,7 +260,7 @@
 // it then. An instance that has not heard from the store since cannot know, as another one
 // may have finished the rollout.
 func (r *rollout) isLate(recordsAt time.Time) bool {
-	return !recordsAt.Before(r.row.Deadline)
+	return !recordsAt.Before(r.deadline)
 }
 
 // clear reports whether there is enough evidence and none against the new version.
--- a/internal/change/rollout/share.go
+++ b/internal/change/rollout/share.go
@@ -111,7 +111,7 @@
 	switch {
 	case r.state == StateCanary && now.Before(r.timeAt(canaryDeadline)):
 		return r.row.CanaryFraction
-	case r.state == StateRamp && now.Before(r.row.Deadline):
+	case r.state == StateRamp && now.Before(r.deadline):
 		return r.rampShare(now)
 	default:
 		return 0
@@ -132,5 +132,5 @@
 
 // timeAt returns the time at which a fraction of the window has passed.
 func (r *rollout) timeAt(fraction float64) time.Time {
-	return r.row.Start.Add(time.Duration(fraction * float64(r.window())))
+	return r.start.Add(time.Duration(fraction * float64(r.window())))
 }
--- a/internal/entry/edge/edge_follow.go
+++ b/internal/entry/edge/edge_follow.go
@@ -54,25 +54,27 @@
 //     watches the store.
 //   - avoidUntil maps addresses of peers to the time until which they are not followed.
 //   - peerFeed is the feed of the peer that was followed last.
-//   - freshness is how recently the mirror was known to be complete.
+//   - freshness is how recently the mirror was known to be complete, and completeBefore when
+//     it was before the update that is being applied.
 //   - confirmations counts the confirmations of which this instance is the origin.
 //   - checking is set while checkStore calls the store, and checkedAt is when it did so
 //     last.
 type storeState struct {
-	lost          bool
-	lostAt        time.Time
-	respondedAt   time.Time
-	lastOutage    time.Time
-	watchedAt     time.Time
-	interrupt     func()
-	catchingUp    bool
-	followAddress string
-	avoidUntil    map[string]time.Time
-	peerFeed      *follower.ChangeFeed
-	freshness     freshness.Tracker
-	confirmations int64
-	checking      bool
-	checkedAt     time.Time
+	lost           bool
+	lostAt         time.Time
+	respondedAt    time.Time
+	lastOutage     time.Time
+	watchedAt      time.Time
+	interrupt      func()
+	catchingUp     bool
+	followAddress  string
+	avoidUntil     map[string]time.Time
+	peerFeed       *follower.ChangeFeed
+	freshness      freshness.Tracker
+	completeBefore time.Time
+	confirmations  int64
+	checking       bool
+	checkedAt      time.Time
 }
 
 // follow keeps the mirror up to date until ctx ends. Two instances watch the store
@@ -227,6 +229,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	before := e.mirror.Position()
+	e.store.completeBefore = e.store.freshness.Complete().At
 	changes := updateMirror()
 	e.store.freshness.Advance(e.mirror.Position())
 	if after := e.mirror.Position(); before.Revision > 0 && after.Epoch > before.Epoch {
--- a/internal/entry/edge/edge_rollout.go
+++ b/internal/entry/edge/edge_rollout.go
@@ -21,6 +21,10 @@
 	// before all instances try.
 	takeoverDelay       = 1500 * time.Millisecond
 	rolloutWriteTimeout = 2 * time.Second
+	// maxOrderDelay is how long an order usually takes at most to reach all instances. If
+	// the time since a start differs by more from that since the order was seen, the clocks
+	// of two machines differ.
+	maxOrderDelay = 500 * time.Millisecond
 )
 
 // order is a rollout order, with the progress of its rollout. startAt and rampAt are
@@ -33,7 +37,10 @@
 	revision    int64
 	reverted    bool
 	startStored bool
-	seenAt      time.Time
+	// seenAt is when this instance saw the order, and seenFresh is set if that was
+	// when it was given.
+	seenAt    time.Time
+	seenFresh bool
 	// baseVersion is the version that the order replaces.
 	baseVersion  string
 	startAt      time.Time
@@ -64,6 +71,16 @@
 	return o.Service + "@" + strconv.FormatInt(o.startAt.UnixNano(), 10)
 }
 
+// startTime returns when the rollout of an order started, by this instance's clock. It does
+// not move with later steps of that clock.
+func (o *order) startTime() time.Time {
+	difference := o.startAt.Sub(o.seenAt)
+	if o.seenFresh && difference.Abs() > maxOrderDelay {
+		return o.seenAt
+	}
+	return o.seenAt.Add(difference)
+}
+
 // applyRollout applies a changed RolloutOrder, RolloutStart or RolloutStatus record.
 func (e *Edge) applyRollout(now time.Time, event *lacewingramp.StoreEvent) {
 	switch {
@@ -93,6 +110,7 @@
 		e.resumeOrder(previous, event.Revision)
 		return
 	}
+	o.seenFresh = now.Sub(e.store.completeBefore) <= maxUnconfirmed
 	if ok {
 		o.baseVersion = previous.baseVersion
 		if e.localStatus(previous).State == rollout.StateDone {
@@ -190,6 +208,9 @@
 	e.rollouts.Configure(t)
 	for _, s := range names {
 		o := e.orders[s]
+		if !o.startAt.IsZero() {
+			e.rollouts.SetStart(o.rolloutName(), o.startAt, o.startTime())
+		}
 		if !o.rampAt.IsZero() {
 			e.rollouts.ResumeRamp(o.rolloutName(), o.startAt, o.rampAt)
 		}
--- a/internal/entry/edge/fleet_test.go
+++ b/internal/entry/edge/fleet_test.go
@@ -62,6 +62,16 @@
 	onTick func(s *simulatedInstance, now time.Time)
 }
 
+// skewedTimer is a timer of a machine whose clock is ahead.
+type skewedTimer struct {
+	*manual.Timer
+	ahead time.Duration
+}
+
+func (t skewedTimer) Now() time.Time {
+	return t.Timer.Now().Add(t.ahead)
+}
+
 // simulatedInstance is an instance of a simulatedFleet.
 type simulatedInstance struct {
 	*Edge
@@ -148,6 +158,12 @@
 	return f
 }
 
+// skew puts the clock of an instance ahead, before the fleet runs.
+func (s *simulatedInstance) skew(ahead time.Duration) {
+	s.Timer = skewedTimer{Timer: s.fleet.timer, ahead: ahead}
+	s.nextTick, s.nextRenew = s.nextTick.Add(ahead), s.nextRenew.Add(ahead)
+}
+
 // upTo returns a random duration.
 func (f *simulatedFleet) upTo(d time.Duration) time.Duration {
 	return time.Duration(f.random.Int64N(int64(d)))
--- a/internal/entry/edge/outcome_test.go
+++ b/internal/entry/edge/outcome_test.go
@@ -52,11 +52,13 @@
 	faults map[string]bool
 }
 
-// rolloutScenario describes a rollout and its disturbance.
+// rolloutScenario describes a rollout and its disturbance. skew returns by how much the clock
+// of the i-th instance is ahead, nil for none.
 type rolloutScenario struct {
 	size    int
 	bad     bool
 	disturb func(f *rolloutFleet) (end func())
+	skew    func(i int) time.Duration
 	// again is set if a second rollout, of a good version, follows, and sooner if that is
 	// ordered while the disturbance of the first one lasts.
 	again  bool
@@ -66,9 +68,12 @@
 func newRolloutFleet(seed uint64, c rolloutScenario) *rolloutFleet {
 	f := &rolloutFleet{simulatedFleet: newSimulatedFleet(seed, c.size), to: "v1", bad: c.bad, faults: make(map[string]bool)}
 	f.onTick = f.tickInstance
-	for _, s := range f.instances {
+	for i, s := range f.instances {
 		s.EventDecoder, s.DocumentEncoder = events{last: make(map[string]lacewingramp.StoreEvent)}, events{}
 		s.MaxCanaryFraction = maxCanaryFraction
+		if c.skew != nil {
+			s.skew(c.skew(i))
+		}
 	}
 	f.startTargets("v1")
 	f.run(settleTime)
@@ -236,6 +241,16 @@
 
 func calm(*rolloutFleet) func() { return func() {} }
 
+// thirdAhead puts the clocks of a third of the instances ahead.
+func thirdAhead(ahead time.Duration) func(i int) time.Duration {
+	return func(i int) time.Duration {
+		if i%3 == 0 {
+			return ahead
+		}
+		return 0
+	}
+}
+
 // playScenario plays a rollout with a disturbance, and returns what was wrong.
 func playScenario(seed uint64, c rolloutScenario) (wrong []string) {
 	f := newRolloutFleet(seed, c)
@@ -277,7 +292,7 @@
 
 var _ = ginkgo.Describe("the outcome of a rollout that is in the store", func() {
 	const seeds = 12
-	// Guards against an instance that was away, and overrules what the
+	// Guards against an instance that was away, or whose clock is wrong, and overrules what the
 	// others have found or recorded: the targets of its version are gone, and all instances
 	// refuse the service's requests.
 	ginkgo.DescribeTable("is that of all instances soon after a disturbance",
@@ -292,9 +307,12 @@
 		ginkgo.Entry("good version, a domain of a large fleet is cut off", rolloutScenario{size: 69, disturb: cutDomain}),
 		ginkgo.Entry("good version, a domain is cut off until after the next order", rolloutScenario{size: 8, disturb: cutDomain, sooner: true}),
 		ginkgo.Entry("good version, an instance is paused until after the next order", rolloutScenario{size: 8, disturb: pause, sooner: true}),
+		ginkgo.Entry("good version, a third of the clocks is ahead", rolloutScenario{size: 8, disturb: calm, skew: thirdAhead(8 * time.Second), again: true}),
+		ginkgo.Entry("good version, a third of the clocks is behind", rolloutScenario{size: 8, disturb: calm, skew: thirdAhead(-8 * time.Second), again: true}),
 		ginkgo.Entry("bad version, a domain is cut off", rolloutScenario{size: 8, bad: true, disturb: cutDomain, again: true}),
 		ginkgo.Entry("bad version, a domain is cut off from instances and the store", rolloutScenario{size: 8, bad: true, disturb: cutFromInstances, again: true}),
 		ginkgo.Entry("bad version, an instance is paused", rolloutScenario{size: 8, bad: true, disturb: pause, again: true}),
 		ginkgo.Entry("bad version, a domain is cut off until after the next order", rolloutScenario{size: 8, bad: true, disturb: cutDomain, sooner: true}),
+		ginkgo.Entry("bad version, a third of the clocks is ahead", rolloutScenario{size: 8, bad: true, disturb: calm, skew: thirdAhead(8 * time.Second)}),
 	)
 })
