Keep to versions that have targets

An instance that has missed the outcome of a rollout, as it was away, took the version before it for the old one in the next rollout, and refused all requests but those of the share: no target had that version any more. The same for good if targets of a version in force are replaced by those of another one without an order. Cause: which version is in force was never compared with the targets that there are.

The base version of an order is determined again once no target has it; versions that were rolled back are never taken for it. If no target has a version that is done, the base version stands in until one has. A version under test or rolled back never stands in.

--- a/internal/entry/edge/edge_heartbeat.go
+++ b/internal/entry/edge/edge_heartbeat.go
@@ -131,9 +131,13 @@
 	}
 	e.handleDemand(h)
 	e.poisonGuard.Merge(now, h.CrashCounts)
-	for _, a := range e.rollouts.Record(h.RolloutStats, h.Outcomes) {
+	adopted := e.rollouts.Record(h.RolloutStats, h.Outcomes)
+	for _, a := range adopted {
 		e.logAdoption(a, h.Endpoint.Name)
 	}
+	if len(adopted) > 0 {
+		e.configureRollouts(now)
+	}
 }
 
 // handleDemand records the demand of a peer or of another region. While the sender's
--- a/internal/entry/edge/edge_rollout.go
+++ b/internal/entry/edge/edge_rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sort"
 	"strconv"
 	"time"
@@ -41,8 +42,13 @@
 	// when it was given.
 	seenAt    time.Time
 	seenFresh bool
-	// baseVersion is the version that the order replaces.
-	baseVersion  string
+	// baseVersion is the version that the order replaces, and rejected holds the versions
+	// that earlier orders did not bring in force.
+	baseVersion string
+	rejected    map[string]bool
+	// standIn is the version that runs all requests while no target has the version that is
+	// in force, "" if some target has.
+	standIn      string
 	startAt      time.Time
 	rampAt       time.Time
 	storedStatus *lacewingramp.RolloutStatus
@@ -112,10 +118,7 @@
 	}
 	o.seenFresh = now.Sub(e.store.completeBefore) <= maxUnconfirmed
 	if ok {
-		o.baseVersion = previous.baseVersion
-		if e.localStatus(previous).State == rollout.StateDone {
-			o.baseVersion = previous.Version
-		}
+		o.follow(previous, e.localStatus(previous).State)
 	}
 	e.orders[o.Service] = o
 	e.Log.Info().Str("service", o.Service).Str("version", o.Version).Dur("allowed", o.MaxDuration).
@@ -123,6 +126,22 @@
 	e.loadRecords(o)
 }
 
+// follow sets the versions that an order starts from, after the previous order of the service
+// has ended in a state.
+func (o *order) follow(previous *order, state chart.State) {
+	o.baseVersion, o.rejected = previous.baseVersion, maps.Clone(previous.rejected)
+	switch state {
+	case rollout.StateDone:
+		o.baseVersion = previous.Version
+		delete(o.rejected, previous.Version)
+	case rollout.StateRolledBack:
+		if o.rejected == nil {
+			o.rejected = make(map[string]bool)
+		}
+		o.rejected[previous.Version] = true
+	}
+}
+
 // resumeOrder continues the rollout of an order that a restored store had lost and that
 // is in the store again, at a new revision.
 func (e *Edge) resumeOrder(o *order, revision int64) {
@@ -215,7 +234,22 @@
 			e.rollouts.ResumeRamp(o.rolloutName(), o.startAt, o.rampAt)
 		}
 		e.adoptStatus(now, o)
+		e.setStandIn(o)
+	}
+}
+
+// setStandIn sets the stand-in of an order: the base version if the rollout is done and no
+// target has the new version any more.
+func (e *Edge) setStandIn(o *order) {
+	gone := e.localStatus(o).State == rollout.StateDone && e.placer.VersionTargets(o.Service, o.Version) == 0
+	version := ""
+	if gone && e.placer.VersionTargets(o.Service, o.baseVersion) > 0 {
+		version = o.baseVersion
+	}
+	if version != o.standIn {
+		e.Log.Warn().Str("service", o.Service).Str("version", o.Version).Str("in", version).Msg("stand-in of a version without targets")
 	}
+	o.standIn = version
 }
 
 // deadlineMargin is how long before the operator's deadline a rollout ends. It allows
@@ -226,24 +260,25 @@
 // canary.
 const canaryFraction = 1.0
 
-// setBaseVersion sets an unknown base version to the one that most targets of the
-// service have, the new version excluded.
+// setBaseVersion sets the base version to the one that most targets of the service have, the
+// new version and the rejected ones excluded, if it is unknown or no target has it any more.
+// An instance that has missed the outcome of an earlier order does not know what that left.
 func (e *Edge) setBaseVersion(o *order) {
-	if o.baseVersion != "" {
+	if o.baseVersion != "" && e.placer.VersionTargets(o.Service, o.baseVersion) > 0 {
 		return
 	}
-	counts := make(map[string]int)
-	for _, name := range e.placer.Names() {
-		if t, ok := e.placer.Registration(name); ok && t.Service == o.Service && t.Version != o.Version {
-			counts[t.Version]++
+	before, maxCount := o.baseVersion, 0
+	for v, n := range e.placer.Versions(o.Service) {
+		if v == o.Version || o.rejected[v] {
+			continue
 		}
-	}
-	maxCount := 0
-	for v, n := range counts {
 		if n > maxCount || (n == maxCount && v < o.baseVersion) {
 			o.baseVersion, maxCount = v, n
 		}
 	}
+	if before != "" && before != o.baseVersion {
+		e.Log.Warn().Str("service", o.Service).Str("replaced", before).Str("version", o.baseVersion).Msg("the old version of a rollout has no target left")
+	}
 }
 
 // adoptStatus applies the final state that the store holds for an order.
@@ -283,7 +318,10 @@
 	if !ok {
 		return "", ""
 	}
-	if o.startAt.IsZero() {
+	switch {
+	case o.standIn != "":
+		return o.standIn, o.standIn
+	case o.startAt.IsZero():
 		return o.baseVersion, o.baseVersion
 	}
 	prefer, fallback = e.rollouts.Choose(now, j.service, j.object())
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -276,6 +276,15 @@
 	return n
 }
 
+// Versions returns the numbers of a service's targets by version.
+func (p *Placer) Versions(service string) map[string]int {
+	counts := make(map[string]int)
+	for _, t := range p.services[service] {
+		counts[t.Version]++
+	}
+	return counts
+}
+
 // Choose picks a target with free capacity and counts the request as in flight
 // there until Done or Cancel is called. It does not count a request whose Choice has
 // NeedsProbe or NeedsToken set.
