Do not take what has waited in a pause of the process for news

A process that has been paused reads heartbeats and a response of the store that had arrived before and in the pause, and took their confirmations as recent: it believed that its copy of the store was complete, when it was as old as the pause. Callers saw nothing of it alone; the instance could decide that a rollout was not done by its deadline, as it thought to know the store's records. Class of the incident: what one instance believes, without its age.

Confirmations are ignored in datagrams that are read before the first tick after a pause and in the 250 ms after it, and a response to a call that took 1 s longer than it may wait counts from when the call was sent.

--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -197,12 +197,16 @@
 	requestRate float64
 	lookupCache lookupCache
 	store       storeState
+	// tickedAt is when the last tick ran, and resumedAt when the first one ran after a pause
+	// of the process.
+	tickedAt  time.Time
+	resumedAt time.Time
 }
 
 // New returns an instance.
 func New(s Settings, d Dependencies) *Edge {
 	now := d.Timer.Now()
-	e := &Edge{Settings: s, Dependencies: d, tableLoaded: make(chan struct{}), startedAt: now}
+	e := &Edge{Settings: s, Dependencies: d, tableLoaded: make(chan struct{}), startedAt: now, tickedAt: now}
 	e.self = lacewingramp.Endpoint{
 		Name: s.Name, Domain: s.Domain, Peer: s.Peer, Caller: s.CallerAddress, StartMillis: now.UnixMilli(),
 		Capacity: requestCapacity(s.CPUs, s.Bandwidth), Relay: s.Relay,
--- a/internal/entry/edge/edge_confirm.go
+++ b/internal/entry/edge/edge_confirm.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/peer/heartbeat"
 )
 
 // An instance that follows a peer cannot tell a store without changes from a path to the
@@ -26,6 +27,11 @@
 	// maxChecksPerSecond limits the checks of all instances together, to a small part of
 	// what the store answers.
 	maxChecksPerSecond = 1000
+	// maxTickGap is the maximum time between two ticks of a process that is not paused.
+	maxTickGap = time.Second
+	// maxReplyDelay is how much longer a call to the store lasts at most than it waits for a
+	// change, if the process is not paused.
+	maxReplyDelay = time.Second
 	// impliedAge is the assumed age of the confirmation that is implied by an instance
 	// that reports to watch the store, and no confirmation.
 	impliedAge = 400 * time.Millisecond
@@ -59,10 +65,42 @@
 	return &c
 }
 
+// recordTick records that a tick runs. The caller must hold e.mu.
+func (e *Edge) recordTick(now time.Time) {
+	if e.pausedSince(now) {
+		e.Log.Warn().Dur("for", now.Sub(e.tickedAt)).Msg("the process was paused")
+		e.resumedAt = now
+	}
+	e.tickedAt = now
+}
+
+// pausedSince reports whether the process has been paused since its last tick.
+func (e *Edge) pausedSince(now time.Time) bool {
+	return now.Sub(e.tickedAt) > maxTickGap
+}
+
+// mayReadOld reports whether a datagram that is read now may have arrived before or in a
+// pause of the process, and waited. The caller must hold e.mu.
+func (e *Edge) mayReadOld(now time.Time) bool {
+	return e.pausedSince(now) || now.Sub(e.resumedAt) < heartbeat.Period
+}
+
+// responseTime returns a time at which the store had responded to a call that was sent at
+// sentAt and has just ended. In a pause of the process, the response may have waited.
+func responseTime(sentAt, now time.Time, longPoll time.Duration) time.Time {
+	if now.Sub(sentAt) > longPoll+maxReplyDelay {
+		return sentAt
+	}
+	return now
+}
+
 // recordConfirmation records the confirmation in a peer's heartbeat. Earlier programs
 // send none. If such a peer watches the store, this instance confirms the position of the
 // peer in its place. The caller must hold e.mu.
 func (e *Edge) recordConfirmation(now time.Time, h *lacewingramp.Heartbeat) {
+	if e.mayReadOld(now) {
+		return
+	}
 	if c := h.Confirmation; c != nil {
 		e.store.freshness.Record(*c, now.Add(-c.Age()), e.mirror.Position())
 	} else if h.WatchesStore {
--- a/internal/entry/edge/edge_follow.go
+++ b/internal/entry/edge/edge_follow.go
@@ -184,13 +184,14 @@
 	if needSnapshot || after.Revision == 0 {
 		return e.pullSnapshot(ctx, s)
 	}
+	sentAt := e.Timer.Now()
 	changes, position, err := s.Changes(ctx, after, s.longPoll)
 	if err != nil {
 		return err
 	}
 	e.update(func() []lacewingramp.Change { return e.mirror.Apply(changes, position) })
 	if s.address == "" {
-		e.confirm(position, e.Timer.Now())
+		e.confirm(position, responseTime(sentAt, e.Timer.Now(), s.longPoll))
 	}
 	return nil
 }
--- a/internal/entry/edge/edge_heartbeat.go
+++ b/internal/entry/edge/edge_heartbeat.go
@@ -23,6 +23,7 @@
 // get the summed demand of its region.
 func (e *Edge) tick(ctx context.Context, now time.Time) {
 	e.mu.Lock()
+	e.recordTick(now)
 	for _, name := range e.peers.Sweep(now) {
 		e.quota.RemovePeer(name)
 	}
--- a/internal/entry/edge/fleet_test.go
+++ b/internal/entry/edge/fleet_test.go
@@ -33,6 +33,8 @@
 	smallFleet     = 20
 	largePerDomain = 2
 	largeCapacity  = 20
+	// maxBuffered is the number of heartbeats that are kept for a paused process, the oldest.
+	maxBuffered = 40
 	// settleTime is how long a fleet runs before the store falls silent.
 	settleTime = 6 * time.Second
 	// maxSilenceBeforeChange is the maximum time from then to the next change.
@@ -163,6 +165,7 @@
 // skew puts the clock of an instance ahead, before the fleet runs.
 func (s *simulatedInstance) skew(ahead time.Duration) {
 	s.Timer = skewedTimer{Timer: s.fleet.timer, ahead: ahead}
+	s.tickedAt = s.tickedAt.Add(ahead)
 	s.nextTick, s.nextRenew = s.nextTick.Add(ahead), s.nextRenew.Add(ahead)
 }
 
@@ -283,6 +286,7 @@
 
 // tickFollowing does the part of a tick that concerns the store's changes.
 func (s *simulatedInstance) tickFollowing(now time.Time) {
+	s.recordTick(now)
 	if s.fleet.onTick != nil {
 		s.fleet.onTick(s, now)
 	}
@@ -298,7 +302,7 @@
 	}
 	for _, address := range slices.Concat(own, others) {
 		p := s.fleet.byAddress[address]
-		if !s.fleet.connected(s, p) {
+		if !s.fleet.connected(s, p) || len(p.heartbeats) >= maxBuffered {
 			continue
 		}
 		p.heartbeats = append(p.heartbeats, delayedHeartbeat{due: s.fleet.timer.Now().Add(s.fleet.delay(s, p)), heartbeat: h})
--- a/internal/entry/edge/outcome_test.go
+++ b/internal/entry/edge/outcome_test.go
@@ -11,6 +11,7 @@
 	"github.com/onsi/gomega"
 
 	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/change/rollout"
 	"lacewingramp.example/lacewingramp/internal/peer/rendezvous"
 )
 
@@ -49,6 +50,9 @@
 	cutServes bool
 	// recordedAt is when the store had an outcome of the latest order, zero before.
 	recordedAt time.Time
+	// next is called at nextAt, nil for nothing.
+	next   func()
+	nextAt time.Time
 	// faults are what went wrong, each once.
 	faults map[string]bool
 }
@@ -124,6 +128,9 @@
 			f.faults[s.Name+" tells earlier programs of a rollback, against the record"] = true
 		}
 	}
+	if o := s.orders["s"]; !f.bad && o != nil && o.Version == f.to && s.localStatus(o).State == rollout.StateRolledBack {
+		f.faults[s.Name+" rolls a good version back"] = true
+	}
 	if s.Domain == f.cutOff && !f.cutServes {
 		return
 	}
@@ -162,6 +169,10 @@
 func (f *rolloutFleet) play(d time.Duration) {
 	for end := f.timer.Now().Add(d); f.timer.Now().Before(end); {
 		f.run(simulationStep)
+		if f.next != nil && !f.timer.Now().Before(f.nextAt) {
+			f.next()
+			f.next = nil
+		}
 		outcome := f.outcome()
 		switch {
 		case outcome == "":
@@ -240,6 +251,19 @@
 	return func() { f.instances[3].pausedUntil = f.timer.Now() }
 }
 
+// pauseAndCut pauses an instance, which then can read what had arrived before, but is cut off
+// from all others and the store for a while.
+func pauseAndCut(f *rolloutFleet) func() {
+	s := f.instances[3]
+	s.pausedUntil = f.timer.Now().Add(time.Hour)
+	f.nextAt = f.timer.Now().Add(disturbanceTime - 3*time.Second)
+	f.next = func() {
+		f.cut(s.Domain)
+		s.pausedUntil = f.timer.Now()
+	}
+	return func() { f.cut("") }
+}
+
 // deafenOwner lets the instance whose turn it is to write records hear nothing of its peers,
 // which hear it.
 func deafenOwner(f *rolloutFleet) func() {
@@ -317,6 +341,7 @@
 		ginkgo.Entry("good version, a domain is cut off from instances and the store", rolloutScenario{size: 8, disturb: cutFromInstances, again: true}),
 		ginkgo.Entry("good version, instances are cut off from the store", rolloutScenario{size: 8, disturb: cutFromStore, again: true}),
 		ginkgo.Entry("good version, an instance is paused", rolloutScenario{size: 8, disturb: pause, again: true}),
+		ginkgo.Entry("good version, an instance is paused and cut off as it wakes", rolloutScenario{size: 8, disturb: pauseAndCut, again: true}),
 		ginkgo.Entry("good version, the one that should record it hears nobody", rolloutScenario{size: 8, disturb: deafenOwner, again: true}),
 		ginkgo.Entry("good version, a domain of a large fleet is cut off", rolloutScenario{size: 69, disturb: cutDomain}),
 		ginkgo.Entry("good version, a domain is cut off until after the next order", rolloutScenario{size: 8, disturb: cutDomain, sooner: true}),
