Bound the lines of a response's head

Cause: a head was bounded in bytes only, and a short line of its own name takes about fifteen times its size once it is parsed.

At most 128 lines are read before more is read, of the interim responses and the final one together. Ruled out as bounds: fewer bytes (long single headers are in use).

Test: 400 heads of 55 KB without an end held 367 MB (many names) and 133 MB (one name) before, nothing now, as they end at once; with just under 128 lines they hold 29 MB, before and after. Allowed is a quarter of a small instance's memory.

--- a/internal/call/message/budget_test.go
+++ b/internal/call/message/budget_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
 
 	"github.com/onsi/ginkgo/v2"
@@ -103,3 +105,57 @@
 		ginkgo.Entry("with a small instance's memory", int64(memory)),
 	)
 })
+
+// Guards against running out of memory by several hundred heads at one time that never end.
+var _ = ginkgo.Describe("heads of responses that never end", func() {
+	const (
+		// memory is that of the smallest instance, of which responses may take a quarter.
+		memory  = 284 << 20
+		readers = 400
+		// headBytes is a little less than a head may have.
+		headBytes = 55 << 10
+	)
+	// held returns the memory that readers hold which have read a text and wait for more. Those
+	// that have ended with an error hold none.
+	held := func(text string) uint64 {
+		stalled, release := make(chan error, readers), make(chan struct{})
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for range readers {
+			go func() {
+				reader := message.NewReader(staller{strings.NewReader(text), stalled, release})
+				if _, err := reader.Response(http.MethodGet); !errors.Is(err, io.ErrUnexpectedEOF) {
+					stalled <- err
+				}
+			}()
+		}
+		for range readers {
+			<-stalled
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		close(release)
+		return max(after.HeapAlloc, before.HeapAlloc) - before.HeapAlloc
+	}
+	head := func(line func(i int) string) string {
+		var b strings.Builder
+		b.WriteString("HTTP/1.1 200 OK\r\n")
+		for i := 0; b.Len() < headBytes; i++ {
+			b.WriteString(line(i))
+		}
+		return b.String()
+	}
+
+	ginkgo.DescribeTable("take a part of a small instance's memory only",
+		func(line func(i int) string) {
+			n := held(head(line))
+			ginkgo.GinkgoWriter.Println(n>>20, "MB held by", readers)
+			gomega.Expect(n).To(gomega.BeNumerically("<", memory/4))
+		},
+		ginkgo.Entry("of many names", func(i int) string { return fmt.Sprintf("%x:\r\n", i) }),
+		ginkgo.Entry("of one name", func(int) string { return "a:\r\n" }),
+		ginkgo.Entry("of about as many lines as are read", func(i int) string { return fmt.Sprintf("%x: %s\r\n", i, strings.Repeat("x", 450)) }),
+		ginkgo.Entry("of long lines", func(i int) string { return fmt.Sprintf("%x: %s\r\n", i, strings.Repeat("x", 4<<10)) }),
+	)
+})
--- a/internal/call/message/message.go
+++ b/internal/call/message/message.go
@@ -16,9 +16,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/textproto"
 	"os"
@@ -33,6 +35,9 @@
 	// maxResponseHeader is the maximum size of the headers of a response and of the
 	// interim ones before it together.
 	maxResponseHeader = 64 << 10
+	// maxResponseLines is how many lines of these may be read before more is read: a short
+	// line takes many times its size in memory.
+	maxResponseLines = 128
 	// MaxResponseBody is the maximum size of a response body.
 	MaxResponseBody = 16 << 20
 	bufferSize      = 4 << 10
@@ -97,15 +102,22 @@
 	errBodySize   error = &FormatError{Status: http.StatusBadGateway, Detail: "response body too large"}
 )
 
-// limitReader fails after the remaining bytes have been read. There is no limit if
-// remaining is negative. err is the last error of the reader below it.
+// limitReader fails after the remaining bytes have been read, or remainingLines line feeds. It
+// reads the bytes of a buffer that holds the last of these whole. There is no limit if remaining is negative. err is the last error of
+// the reader below it.
 type limitReader struct {
-	reader    io.Reader
-	remaining int64
-	err       error
+	reader         io.Reader
+	remaining      int64
+	remainingLines int
+	err            error
 }
 
+var lineFeed = []byte{'\n'}
+
 func (l *limitReader) Read(p []byte) (int, error) {
+	if l.remaining > 0 && l.remainingLines == 0 {
+		l.remaining = 0
+	}
 	if l.remaining == 0 {
 		return 0, errHeaderSize
 	}
@@ -115,6 +127,7 @@
 	n, err := l.reader.Read(p)
 	if l.remaining > 0 {
 		l.remaining -= int64(n)
+		l.remainingLines = max(0, l.remainingLines-bytes.Count(p[:n], lineFeed))
 	}
 	l.err = err
 	return n, err
@@ -123,7 +136,7 @@
 // Request reads one request. sendContinue, if not nil, is called before the body is
 // read if the caller has sent "Expect: 100-continue".
 func (r *Reader) Request(bounds lacewingramp.Bounds, sendContinue func() error) (*Request, error) {
-	r.limit.remaining = bounds.Header + headerSlack
+	r.limit.remaining, r.limit.remainingLines = bounds.Header+headerSlack, math.MaxInt
 	req, err := http.ReadRequest(r.Reader)
 	if r.limit.remaining == 0 {
 		return nil, &FormatError{Status: http.StatusRequestHeaderFieldsTooLarge, Detail: "request header too large"}
@@ -207,7 +220,7 @@
 // Response reads one response to a request with the given method. Interim responses
 // are skipped. Its error is a FormatError unless the connection has failed.
 func (r *Reader) Response(method string) (*Response, error) {
-	r.limit.remaining = maxResponseHeader
+	r.limit.remaining, r.limit.remainingLines = maxResponseHeader, maxResponseLines
 	for {
 		resp, err := http.ReadResponse(r.Reader, &http.Request{Method: method}) //nolint:bodyclose // see readResponse
 		if err != nil {
