Count a large response until it has been sent

Responses that are whole were no longer counted against the memory for responses, and each was copied once more to be sent. Cause: the budget was given back once a response had been read.

A response keeps its part of the budget until it is released: by the callers' server once it has been sent or its caller is gone, by the request for all its other responses, and by health checks. Bodies over 32 KiB are sent without the copy.

The test that the budget is given back now releases whole responses, as its users have to.

--- a/internal/call/caller/caller.go
+++ b/internal/call/caller/caller.go
@@ -33,13 +33,16 @@
 	maxPipelined = 16
 	// writeTimeout limits the time to write one response to the caller.
 	writeTimeout = 10 * time.Second
+	// maxCopiedBody is the maximum size of a body that is sent in one piece with its head, in
+	// bytes.
+	maxCopiedBody = 32 << 10
 	// lingerTimeout is how long the server waits, after the last response, for
 	// the caller to close the connection before it closes it itself.
 	lingerTimeout = 500 * time.Millisecond
 )
 
 // Handler returns the response to a request whose first byte arrived at
-// receivedAt. A nil response closes the connection. ctx is cancelled when the
+// receivedAt. It is released once it has been sent. A nil response closes the connection. ctx is cancelled when the
 // caller disconnects.
 type Handler func(ctx context.Context, r *message.Request, receivedAt time.Time) *message.Response
 
@@ -238,6 +241,7 @@
 // requests.
 func (c *connection) handle(ctx context.Context, r *message.Request, receivedAt time.Time, previousSent <-chan struct{}) {
 	resp := c.server.Handle(ctx, r, receivedAt)
+	defer resp.Release()
 	<-previousSent
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -262,12 +266,26 @@
 
 func (c *connection) writeResponseLocked(resp *message.Response, method string) {
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := c.conn.Write(message.AppendResponse(nil, resp, method)); err != nil {
+	if err := c.write(resp, method); err != nil {
 		c.closed = true
 		_ = c.conn.Close()
 	}
 }
 
+// write writes a response. It does not copy a large body, which would take its memory twice.
+func (c *connection) write(resp *message.Response, method string) error {
+	body := message.SentBody(resp, method)
+	if len(body) <= maxCopiedBody {
+		_, err := c.conn.Write(message.AppendResponse(nil, resp, method))
+		return err
+	}
+	if _, err := c.conn.Write(message.AppendResponseHead(nil, resp)); err != nil {
+		return err
+	}
+	_, err := c.conn.Write(body)
+	return err
+}
+
 // closeGracefullyLocked closes the sending side only and leaves the caller time
 // to read the last response. A full close with unread input would reset the
 // connection, and the caller could lose the response.
--- a/internal/call/exchange/exchange.go
+++ b/internal/call/exchange/exchange.go
@@ -77,7 +77,7 @@
 }
 
 // Result is the outcome of a TargetRequest. Response is nil if no complete response
-// was received, and Err says why. ConnectionBroken says that the target closed or
+// was received, and Err says why. It has to be released. ConnectionBroken says that the target closed or
 // reset the connection while the request was in flight, Unreachable that no
 // connection could be opened, NotAllowed that Allowed reported false, and
 // ConnectionOpened that a connection was opened for the request.
@@ -181,11 +181,13 @@
 		}
 		headers := c.HeaderCodec.ResponseHeaders(resp.Status, resp.Header)
 		if headers.ID == "" && conn.sendsIDs && req.ID != "" {
+			resp.Release()
 			result.Err = errors.New("the target sent a response without an ID")
 			return result
 		}
 		conn.record(headers)
 		if headers.ID != "" && headers.ID != req.ID {
+			resp.Release()
 			conn.sentExtra = true
 			if resp.Close {
 				result.Err = errors.New("the target closed the connection after a response to another request")
--- a/internal/call/message/body.go
+++ b/internal/call/message/body.go
@@ -15,40 +15,50 @@
 	unknownBodySize = 4 << 10
 )
 
-// body is a response body that is being read. taken is the memory taken from budget.
+// body is a response body that is being read or was read. taken is the memory taken from
+// budget.
 type body struct {
 	buf    []byte
 	budget *Budget
 	taken  int
 }
 
-// readBody reads a body to its end. length is -1 if it is not known.
-func readBody(r io.Reader, length int64, budget *Budget) ([]byte, error) {
+// readBody reads a body to its end. length is -1 if it is not known. The memory of a body that
+// was read stays taken.
+func readBody(r io.Reader, length int64, budget *Budget) (*body, error) {
+	b := &body{budget: budget}
+	if err := b.read(r, length); err != nil {
+		b.budget.giveBack(b.taken)
+		return nil, err
+	}
+	return b, nil
+}
+
+func (b *body) read(r io.Reader, length int64) error {
 	limit, size := MaxResponseBody, unknownBodySize
 	if length >= 0 {
 		limit, size = int(length), min(int(length), announcedBodySize)
 	}
-	b := &body{buf: make([]byte, 0, size), budget: budget}
-	defer func() { b.budget.giveBack(b.taken) }()
+	b.buf = make([]byte, 0, size)
 	for len(b.buf) < limit {
 		if len(b.buf) == cap(b.buf) {
 			if err := b.grow(limit); err != nil {
-				return nil, err
+				return err
 			}
 		}
 		n, err := r.Read(b.buf[len(b.buf):cap(b.buf)])
 		b.buf = b.buf[:len(b.buf)+n]
 		if errors.Is(err, io.EOF) {
-			return b.buf, nil
+			return nil
 		}
 		if err != nil {
-			return nil, err
+			return err
 		}
 	}
 	if length >= 0 {
-		return b.buf, nil
+		return nil
 	}
-	return b.buf, expectEnd(r)
+	return expectEnd(r)
 }
 
 // grow doubles the buffer, up to limit.
--- a/internal/call/message/budget_test.go
+++ b/internal/call/message/budget_test.go
@@ -90,13 +90,28 @@
 		}
 	})
 
-	ginkgo.DescribeTable("is given back by every body, whole or not, and is enough for one of the maximum size",
+	// Guards against running out of memory by responses that are whole and wait to be sent.
+	ginkgo.It("counts a response until it is released", func() {
+		budget = message.NewBudget(1)
+		whole := "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", message.MaxResponseBody)
+		first, err := read(strings.NewReader(whole))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = read(strings.NewReader(whole))
+		gomega.Expect(err).To(gomega.HaveOccurred())
+		first.Release()
+		_, err = read(strings.NewReader(whole))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	})
+
+	ginkgo.DescribeTable("is given back by every body that is released or does not end well, and is enough for one of the maximum size",
 		func(limit int64) {
 			budget = message.NewBudget(limit)
 			whole := "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", message.MaxResponseBody)
 			for range 5 {
-				_, err := read(strings.NewReader(whole))
+				resp, err := read(strings.NewReader(whole))
 				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+				resp.Release()
+				resp.Release()
 				_, err = read(strings.NewReader(whole + "x"))
 				gomega.Expect(err).To(gomega.HaveOccurred())
 			}
--- a/internal/call/message/message.go
+++ b/internal/call/message/message.go
@@ -73,13 +73,28 @@
 	Close bool
 }
 
-// Response is one complete response.
+// Response is one complete response. Release has to be called when one that was read is no
+// longer needed.
 type Response struct {
 	Status int
 	Header http.Header
 	Body   []byte
 	// Close says that the sender closes the connection after the response.
 	Close bool
+
+	// taken is the memory that the body takes from budget.
+	budget *Budget
+	taken  int
+}
+
+// Release gives the memory of the body back to the budget from which it was taken. It may be
+// called more than once, and for nil.
+func (r *Response) Release() {
+	if r == nil {
+		return
+	}
+	r.budget.giveBack(r.taken)
+	r.taken = 0
 }
 
 // Reader reads messages from one connection.
@@ -265,11 +280,11 @@
 	if resp.ContentLength > MaxResponseBody {
 		return nil, errBodySize
 	}
-	var err error
-	response.Body, err = readBody(resp.Body, resp.ContentLength, r.Budget)
+	b, err := readBody(resp.Body, resp.ContentLength, r.Budget)
 	if err != nil {
 		return nil, err
 	}
+	response.Body, response.budget, response.taken = b.buf, b.budget, b.taken
 	return response, nil
 }
 
@@ -312,6 +327,11 @@
 // AppendResponse appends, in wire format, a response to a request with the given
 // method.
 func AppendResponse(b []byte, resp *Response, method string) []byte {
+	return append(AppendResponseHead(b, resp), SentBody(resp, method)...)
+}
+
+// AppendResponseHead appends what comes before the body of a response.
+func AppendResponseHead(b []byte, resp *Response) []byte {
 	b = append(b, "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(resp.Status), 10)
 	b = append(b, ' ')
@@ -321,15 +341,22 @@
 	if resp.Close {
 		b = append(b, "Connection: close\r\n"...)
 	}
-	noBody := resp.Status == http.StatusNoContent || resp.Status == http.StatusNotModified
-	if !noBody {
+	if mayHaveBody(resp.Status) {
 		b = appendLength(b, len(resp.Body))
 	}
-	b = append(b, "\r\n"...)
-	if noBody || method == http.MethodHead {
-		return b
+	return append(b, "\r\n"...)
+}
+
+// SentBody returns the body that is sent of a response to a request with the given method.
+func SentBody(resp *Response, method string) []byte {
+	if !mayHaveBody(resp.Status) || method == http.MethodHead {
+		return nil
 	}
-	return append(b, resp.Body...)
+	return resp.Body
+}
+
+func mayHaveBody(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
 }
 
 func appendLength(b []byte, n int) []byte {
--- a/internal/entry/edge/edge_admit.go
+++ b/internal/entry/edge/edge_admit.go
@@ -61,6 +61,8 @@
 	// better one.
 	fallback *message.Response
 	allFull  bool
+	// received holds the responses of targets and of other instances.
+	received []*message.Response
 	// pauseLeft is the time to the end of the first pause of a target, if no other target
 	// could be chosen.
 	pauseLeft time.Duration
@@ -97,9 +99,21 @@
 	if resp := e.admit(ctx, j); resp != nil {
 		return resp
 	}
+	return e.runUntilDeadline(ctx, j)
+}
+
+// runUntilDeadline runs an admitted request, and releases all responses to it but the one that
+// it returns.
+func (e *Edge) runUntilDeadline(ctx context.Context, j *job) *message.Response {
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
-	return e.run(ctx, j)
+	resp := e.run(ctx, j)
+	for _, r := range j.received {
+		if r != resp {
+			r.Release()
+		}
+	}
+	return resp
 }
 
 // admit checks whether a request may run and returns the refusal if not.
--- a/internal/entry/edge/edge_probe.go
+++ b/internal/entry/edge/edge_probe.go
@@ -70,6 +70,7 @@
 			Request: &message.Request{Method: http.MethodGet, URI: path, Host: t.Address},
 		})
 	}
+	defer r.Response.Release()
 	ok := r.Response != nil && r.Response.Status == http.StatusOK && r.ResponseHeaders.Target == t.Name
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/entry/edge/edge_reach.go
+++ b/internal/entry/edge/edge_reach.go
@@ -122,6 +122,7 @@
 		Address: t.Address, NewConnection: true,
 		Request: &message.Request{Method: http.MethodGet, URI: path, Host: t.Address},
 	})
+	defer r.Response.Release()
 	if r.ResponseHeaders.Leaving && r.ResponseHeaders.Target == t.Name {
 		e.mu.Lock()
 		e.markLeaving(e.Timer.Now(), incarnation, "", "")
--- a/internal/entry/edge/edge_relay.go
+++ b/internal/entry/edge/edge_relay.go
@@ -112,6 +112,7 @@
 	r := e.relayClient.Do(ctx, exchange.TargetRequest{
 		Address: p.Relay, Request: j.request, Header: h, ID: j.headers.ID, NonIdempotent: !j.route.Idempotent,
 	})
+	j.received = append(j.received, r.Response)
 	e.recordRelayLeaving(j, p.Name, r.Response)
 	return r
 }
@@ -205,9 +206,7 @@
 	if resp := e.guard(j); resp != nil {
 		return resp
 	}
-	ctx, cancel := context.WithDeadline(ctx, j.deadline)
-	defer cancel()
-	return e.run(ctx, j)
+	return e.runUntilDeadline(ctx, j)
 }
 
 // mayRunRelayed reports whether this instance can run relayed requests: it is not stopping,
--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -145,6 +145,7 @@
 		Address: c.Target.Address, Request: j.request, Header: h, ID: j.headers.ID, NonIdempotent: !j.route.Idempotent,
 		Allowed: func() bool { return e.mayServe(c.Target) },
 	})
+	j.received = append(j.received, r.Response)
 	took := e.Timer.Now().Sub(sentAt)
 	e.Meter.Attempt(r.Verdict, took)
 	if r.ConnectionOpened {
--- a/internal/entry/edge/fakes_test.go
+++ b/internal/entry/edge/fakes_test.go
@@ -220,6 +220,8 @@
 	modeHalfSilence = "half-silence"
 	// modeEndless sends interim responses until the caller closes the connection.
 	modeEndless = "endless"
+	// modeLarge sends a whole response that is large.
+	modeLarge = "large"
 	// modeForge responds as if it were an instance that has not run the request.
 	modeForge = "forge"
 )
@@ -253,6 +255,9 @@
 	case modeEndless:
 		t.sendWithoutEnd(w)
 		return
+	case modeLarge:
+		_, _ = w.Write(make([]byte, largeBody))
+		return
 	case modeFail:
 		w.WriteHeader(http.StatusInternalServerError)
 	case modeForge:
@@ -267,6 +272,10 @@
 	_, _ = fmt.Fprintf(w, "%s for %q key %q", t.name, r.Header.Get("For"), r.Header.Get("Key"))
 }
 
+// largeBody is the size of the responses in modeLarge. Two of them fit into the memory that an
+// instance takes for responses.
+const largeBody = 12 << 20
+
 // release lets the requests end that run in modeSilence, and all later ones.
 func (t *target) release() {
 	t.releaseOnce.Do(func() { close(t.stop) })
@@ -298,6 +307,8 @@
 	domains         []string
 	edges           []*edge.Edge
 	callerAddresses []string
+	// memory is that of the instances in bytes, 0 for no limit.
+	memory int64
 	// dialers open the instances' connections to targets.
 	dialers []*cutDialer
 	stops   []context.CancelFunc
@@ -374,6 +385,7 @@
 		Name: name, Domain: domain, Region: regions[domain], Regions: regions,
 		CallerAddress: caller, Peer: freeAddress(), Relay: freeAddress(), Bootstrap: true, StopTimeout: stopTimeout, MaxLookupTTL: 5 * time.Second,
 		RetryRatio: 0.2, RetryExtra: 60, RetryWindow: 10 * time.Second, MaxCanaryFraction: 0.5,
+		Memory: d.memory,
 	}, edge.Dependencies{
 		Store: s, EventDecoder: codec{}, DocumentEncoder: codec{}, HeaderCodec: codec{}, Timer: wall.Timer{},
 		Log: zerolog.Nop(), Meter: meter.New(), Dialer: dialer,
