--- a/internal/peer/follower/follower.go
+++ b/internal/peer/follower/follower.go
@@ -108,9 +108,11 @@
 // error, after which the client opens a new one.
 func serveConn(c net.Conn, s Source, p *packer) {
 	defer func() { _ = c.Close() }()
-	decoder := cbor.NewDecoder(c)
+	reader := &queryReader{conn: c}
+	decoder := cbor.NewDecoder(reader)
 	for {
 		_ = c.SetReadDeadline(time.Now().Add(idleTimeout))
+		reader.length = 0
 		var q query
 		if err := decoder.Decode(&q); err != nil {
 			return
--- a/internal/peer/follower/transfer_test.go
+++ b/internal/peer/follower/transfer_test.go
@@ -95,6 +95,25 @@
 	return server, result
 }
 
+// Guards against running out of memory by a query that never ends.
+var _ = ginkgo.It("a query without end is cut off", func() {
+	const flood = 1 << 20
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = l.Close() }()
+	go func() { _ = Serve(l, fixedSource{}) }()
+	c, err := net.Dial("tcp4", l.Addr().String())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = c.Close() }()
+	// A byte string of 1 TiB begins.
+	_, err = c.Write([]byte{0x5b, 0, 0, 1, 0, 0, 0, 0, 0})
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Eventually(func() error {
+		_, err := c.Write(make([]byte, flood))
+		return err
+	}, 5*time.Second, time.Millisecond).Should(gomega.HaveOccurred())
+})
+
 var _ = ginkgo.Describe("the transfer of a large reply", func() {
 	const pieces = 60
 	large := lacewingramp.KeyValue{Key: "k", Value: bytes.Repeat([]byte("0123456789abcdef"), pieces*320), Revision: 7}
