Do not blame requests for targets that have fallen silent

Cause: an error after keep-alive probes without a response counted as one of a target that closes its connection. Class of the incident: what one instance sees is taken for what is, by all.

Only a target that closes or resets the connection and accepts no new one counts as crashed; a silent one is avoided as before.

--- a/internal/call/exchange/endless_test.go
+++ b/internal/call/exchange/endless_test.go
@@ -111,6 +111,7 @@
 		} {
 			r := c.Do(ctx, startTarget(response).targetRequest("1", true))
 			gomega.Expect(r.ConnectionBroken).To(gomega.BeTrue(), "%q: %v", response, r.Err)
+			gomega.Expect(r.ConnectionLost).To(gomega.BeFalse())
 		}
 	})
 })
--- a/internal/call/exchange/exchange.go
+++ b/internal/call/exchange/exchange.go
@@ -77,8 +77,9 @@
 }
 
 // Result is the outcome of a TargetRequest. Response is nil if no complete response
-// was received, and Err says why. It has to be released. ConnectionBroken says that the target closed or
-// reset the connection while the request was in flight, Unreachable that no
+// was received, and Err says why. It has to be released. ConnectionBroken says that the target
+// closed or reset the connection while the request was in flight, ConnectionLost that the
+// target, or the way to it, was silent until the connection failed, Unreachable that no
 // connection could be opened, NotAllowed that Allowed reported false, and
 // ConnectionOpened that a connection was opened for the request.
 type Result struct {
@@ -87,6 +88,7 @@
 	Verdict          lacewingramp.Verdict
 	Err              error
 	ConnectionBroken bool
+	ConnectionLost   bool
 	Unreachable      bool
 	NotAllowed       bool
 	ConnectionOpened bool
@@ -120,7 +122,7 @@
 	result.ConnectionOpened = opened
 	if !stop() {
 		_ = conn.Close()
-		result.ConnectionBroken = false
+		result.ConnectionBroken, result.ConnectionLost = false, false
 		if result.Response == nil {
 			result.Err = errors.Join(result.Err, ctx.Err())
 		}
@@ -176,7 +178,8 @@
 		resp, err := conn.reader.Response(req.Request.Method)
 		if err != nil {
 			result.Err = errors.Join(writeErr, err)
-			result.ConnectionBroken = brokenByTarget(err)
+			result.ConnectionLost = isLost(err)
+			result.ConnectionBroken = !result.ConnectionLost && brokenByTarget(err)
 			return result
 		}
 		headers := c.HeaderCodec.ResponseHeaders(resp.Status, resp.Header)
@@ -218,6 +221,12 @@
 	return h.NotRun || h.WrongTarget
 }
 
+// isLost reports whether a read error means that the target did not respond to keep-alive
+// probes, or that there is no way to it.
+func isLost(err error) bool {
+	return errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH)
+}
+
 // brokenByTarget reports whether a read error means that the target closed or
 // reset the connection.
 func brokenByTarget(err error) bool {
--- a/internal/entry/edge/cut_test.go
+++ b/internal/entry/edge/cut_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -37,6 +38,9 @@
 // cutDialer opens connections unless its instance is cut off.
 type cutDialer struct {
 	cut atomic.Int32
+	// lost is the address of a target that no longer responds to keep-alive probes, nil for
+	// none.
+	lost atomic.Pointer[string]
 
 	mu    sync.Mutex
 	conns []*cutConn
@@ -50,6 +54,10 @@
 	case cutReset, cutNew:
 		return nil, syscall.ECONNREFUSED
 	}
+	if d.isLost(address) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	c, err := (&net.Dialer{}).DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
@@ -69,6 +77,11 @@
 	return conn, nil
 }
 
+func (d *cutDialer) isLost(address string) bool {
+	lost := d.lost.Load()
+	return lost != nil && *lost == address
+}
+
 // set cuts the instance off.
 func (d *cutDialer) set(cut int32) {
 	d.cut.Store(cut)
@@ -88,17 +101,21 @@
 	dialer *cutDialer
 }
 
-// Write discards the bytes while connections hang.
+// Write discards the bytes while connections hang or the target is lost.
 func (c *cutConn) Write(b []byte) (int, error) {
-	if c.dialer.cut.Load() == cutHang {
+	if c.dialer.cut.Load() == cutHang || c.dialer.isLost(c.RemoteAddr().String()) {
 		return len(b), nil
 	}
 	return c.TCPConn.Write(b)
 }
 
-// Read reports a reset connection as one that the target has reset.
+// Read reports a reset connection as one that the target has reset, and fails as that of a
+// connection whose keep-alive probes have no response if the target is lost.
 func (c *cutConn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
+	if c.dialer.isLost(c.RemoteAddr().String()) {
+		return 0, &net.OpError{Op: "read", Net: "tcp4", Err: os.NewSyscallError("read", syscall.ETIMEDOUT)}
+	}
 	if err != nil && c.dialer.cut.Load() == cutReset {
 		return n, syscall.ECONNRESET
 	}
--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -21,7 +21,7 @@
 	// allowed before a request is refused. None of them has received the request.
 	maxFailedConnects = 3
 	// crashCheckTimeout is how long a target has to accept a new connection after one
-	// broke. Otherwise it counts as crashed.
+	// failed. Otherwise it counts as gone.
 	crashCheckTimeout = 200 * time.Millisecond
 	// targetsPerConcentrated is the number of targets of a new version for each object that
 	// stands for many while the version is tested under load.
@@ -36,7 +36,9 @@
 	sentAt time.Time
 	result exchange.Result
 	took   time.Duration
-	// crashed is set if the connection broke and the target accepts no new one.
+	// gone is set if the connection failed and the target accepts no new one, and crashed if
+	// the target had closed or reset it. One that is silent may only have been cut off.
+	gone    bool
 	crashed bool
 }
 
@@ -157,8 +159,8 @@
 		e.checkReach()
 	}
 	e.mu.Unlock()
-	crashed := r.ConnectionBroken && e.crashed(c.Target.Address)
-	return attempt{choice: c, sentAt: sentAt, result: r, took: took, crashed: crashed}
+	gone := (r.ConnectionBroken || r.ConnectionLost) && !e.acceptsAgain(c.Target.Address)
+	return attempt{choice: c, sentAt: sentAt, result: r, took: took, gone: gone, crashed: gone && r.ConnectionBroken}
 }
 
 // mayServe reports whether a chosen target is still registered, is not leaving, and is
@@ -169,11 +171,11 @@
 	return e.placer.MayServe(e.Timer.Now(), t)
 }
 
-// crashed reports whether a target accepts no new connection after one broke.
-func (e *Edge) crashed(address string) bool {
+// acceptsAgain reports whether a target accepts a new connection after one has failed.
+func (e *Edge) acceptsAgain(address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
-	return !e.accepts(ctx, address)
+	return e.accepts(ctx, address)
 }
 
 // recordAttempt passes the result of an attempt to the target placement and to the
@@ -188,7 +190,7 @@
 	failed := ran && (r.Response == nil || r.Response.Status >= http.StatusInternalServerError)
 	limit := e.placer.Limit(target.Name)
 	e.placer.Done(now, placement.Report{
-		Target: target.Name, StartMillis: a.choice.StartMillis, SentAt: a.sentAt, Ran: r.Verdict == lacewingramp.Ran, Unreachable: r.Unreachable || a.crashed, Failed: failed,
+		Target: target.Name, StartMillis: a.choice.StartMillis, SentAt: a.sentAt, Ran: r.Verdict == lacewingramp.Ran, Unreachable: r.Unreachable || a.gone, Failed: failed,
 		Shed: r.ResponseHeaders.NotRun, AddressTaken: r.ResponseHeaders.WrongTarget, TargetLoad: r.ResponseHeaders.TargetLoad, WarmupRemaining: r.ResponseHeaders.WarmupRemaining,
 		RateLimit: r.ResponseHeaders.RateLimit, InvalidRateLimit: r.ResponseHeaders.InvalidRateLimit,
 		RetryAfter: r.ResponseHeaders.RetryAfter,
