--- a/internal/change/rollout/rollout.go
+++ b/internal/change/rollout/rollout.go
@@ -53,8 +53,8 @@
 	StatePlanned    chart.State = "planned"
 	StateCanary     chart.State = "canary"
 	StateRamp       chart.State = "ramp"
-	StateDone       chart.State = "done"
-	StateRolledBack chart.State = "rolledback"
+	StateDone       chart.State = lacewingramp.StatusDone
+	StateRolledBack chart.State = lacewingramp.StatusRolledBack
 )
 
 // Manager carries out the rollouts of a Table at one instance. versions maps each
@@ -245,7 +245,7 @@
 		return r.rollBack(now, "late", "not done by its deadline")
 	case r.state == StateCanary && !recordsAt.Before(r.timeAt(canaryDeadline)):
 		return r.rollBack(now, "late", "too little evidence")
-	case r.state == StateRamp && !now.Before(r.timeAt(earliestDone)) && now.Before(r.deadline) && r.clear(now):
+	case r.state == StateRamp && !now.Before(r.timeAt(earliestDone)) && now.Before(r.deadline) && r.mayBeDone(now):
 		return StateDone
 	}
 	return ""
@@ -263,8 +263,8 @@
 	return !recordsAt.Before(r.deadline)
 }
 
-// clear reports whether there is enough evidence and none against the new version.
-func (r *rollout) clear(now time.Time) bool {
+// mayBeDone reports whether there is enough evidence and none against the new version.
+func (r *rollout) mayBeDone(now time.Time) bool {
 	total := r.all.new.total()
 	return total.compared >= minDoneCompared && total.loaded >= minDoneLoaded && !r.thinAndSlow() && !r.failsMore() && !r.suspected(now)
 }
