Take a proposal back if evidence comes against it

An instance that found a rollout done kept to that, although evidence against the version came before the outcome was recorded, and wrote it when its turn came. Cause: a proposal was decided once.

Until the deadline a proposal stands only while the evidence allows it. On the older path it is not written once it is taken back. Test: four failures after the proposal; it stood before.

--- a/internal/change/rollout/outcome.go
+++ b/internal/change/rollout/outcome.go
@@ -15,7 +15,8 @@
 //
 //   - A rollback is in force at once, as it keeps a bad version away whoever else can be
 //     reached. Peers are told of it, unless another instance may have recorded "done" by then.
-//   - "Done" is a proposal. The version keeps at most its share of the requests.
+//   - "Done" is a proposal, and taken back if evidence against the version comes. The version
+//     keeps at most its share of the requests.
 //   - Lack of evidence is no decision: only an instance that knows that the store had no
 //     outcome at the deadline finds that a rollout was not done by then. Until it knows, it
 //     sends nothing to the new version.
@@ -112,6 +113,12 @@
 	return all
 }
 
+// Stands reports whether an outcome is the one that this instance has decided on or knows from
+// the store.
+func (m *Manager) Stands(o lacewingramp.RolloutOutcome) bool {
+	return m.outcomes[rolloutID(o.Rollout, o.Start)].State == o.State
+}
+
 // AwaitsRecord reports whether a rollout has no outcome in time, so that the store has to be
 // asked whether another instance has recorded one.
 func (m *Manager) AwaitsRecord(now time.Time) bool {
--- a/internal/change/rollout/outcome_test.go
+++ b/internal/change/rollout/outcome_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -100,6 +101,29 @@
 		gomega.Expect(m.Outcomes(end)).To(gomega.HaveLen(1))
 	})
 
+	// Guards against a bad version that is recorded as done on what one instance knew a moment
+	// before the others.
+	ginkgo.It("that is proposed is taken back if evidence against the version comes", func() {
+		const usualLoad, failures = 0.6, 4
+		end := start.Add(fleetWindow)
+		for now := start; now.Before(end); now = now.Add(fleetExchange) {
+			observeFast(m, now, oldVersion, usualLoad, 40)
+			observeFast(m, now, newVersion, usualLoad, 2)
+			m.Tick(now, now)
+			if m.Statuses(now)[0].Decided != StateDone {
+				continue
+			}
+			for i := range failures {
+				m.Observe(lacewingramp.AttemptResult{Route: "read", Service: service, Version: newVersion, Target: fmt.Sprint("bad", i), Failed: true, EndedAt: now, Took: 50 * time.Millisecond})
+			}
+			gomega.Expect(m.Tick(now, now)).To(gomega.BeEmpty())
+			gomega.Expect(m.Statuses(now)[0].Decided).To(gomega.BeEmpty())
+			gomega.Expect(state()).To(gomega.Equal(string(StateRamp)))
+			return
+		}
+		ginkgo.Fail("the rollout was never proposed as done")
+	})
+
 	ginkgo.It("passes between builds of different age", func() {
 		m.ApplyRecord(done)
 		var earlier []earlierOutcome
--- a/internal/change/rollout/rollout.go
+++ b/internal/change/rollout/rollout.go
@@ -207,7 +207,11 @@
 			continue
 		}
 		decided := r.evaluate(now, recordsAt, chart.State(m.outcomes[k].State))
-		if decided == "" || m.outcomes[k].State == string(decided) {
+		if decided == "" {
+			delete(m.outcomes, k)
+			continue
+		}
+		if m.outcomes[k].State == string(decided) {
 			continue
 		}
 		o := lacewingramp.RolloutOutcome{
@@ -223,7 +227,8 @@
 }
 
 // evaluate advances a rollout. It returns the outcome that this instance decides on, or "".
-// proposed is StateDone if it has decided on that before.
+// proposed is StateDone if it has decided on that before, which it takes back if evidence
+// against the new version comes until the deadline.
 func (r *rollout) evaluate(now, recordsAt time.Time, proposed chart.State) chart.State {
 	r.fade(now)
 	if r.row.Cancelled {
@@ -239,7 +244,7 @@
 		r.transition(now, "evidence", "")
 	}
 	switch {
-	case proposed == StateDone:
+	case !now.Before(r.deadline) && proposed == StateDone:
 		return StateDone
 	case r.isLate(recordsAt):
 		return r.rollBack(now, "late", "not done by its deadline")
--- a/internal/entry/instance/instance_rollout.go
+++ b/internal/entry/instance/instance_rollout.go
@@ -44,17 +44,28 @@
 	all := slices.Collect(maps.Values(i.unsavedOutcomes))
 	i.mu.Unlock()
 	for _, o := range all {
-		record, ok := i.saveOutcome(o)
-		if !ok {
-			continue
+		if i.stands(o) {
+			record, ok := i.saveOutcome(o)
+			if !ok {
+				continue
+			}
+			i.applyRecords([]lacewingramp.RolloutOutcome{record})
 		}
-		i.applyRecords([]lacewingramp.RolloutOutcome{record})
 		i.mu.Lock()
-		delete(i.unsavedOutcomes, outcomeKey(o))
+		if i.unsavedOutcomes[outcomeKey(o)].State == o.State {
+			delete(i.unsavedOutcomes, outcomeKey(o))
+		}
 		i.mu.Unlock()
 	}
 }
 
+// stands reports whether the instance has not taken an outcome back.
+func (i *Instance) stands(o lacewingramp.RolloutOutcome) bool {
+	i.State.Lock()
+	defer i.State.Unlock()
+	return i.State.Rollouts.Stands(o)
+}
+
 // saveOutcome writes an outcome to the store and returns the one that the store has then. It
 // returns false if that is unknown.
 func (i *Instance) saveOutcome(o lacewingramp.RolloutOutcome) (record lacewingramp.RolloutOutcome, ok bool) {
--- a/internal/entry/instance/rollout_test.go
+++ b/internal/entry/instance/rollout_test.go
@@ -33,6 +33,7 @@
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		rolledBack := done
 		rolledBack.State = lacewingramp.StatusRolledBack
+		i.State.Rollouts.Record(nil, []lacewingramp.RolloutOutcome{rolledBack})
 		i.handleOutcomes([]lacewingramp.RolloutOutcome{rolledBack})
 		i.saveOutcomes()
 		item, err := store.Get(ctx, outcomeKey(done))
