Pass on the evidence of instances that have ended

Heartbeats also carry two of the ended instances' counts, in rotation, and an instance does not propose done in the 2 s after its start. On the older path digests carry all of them.

--- a/internal/change/rollout/evidence.go
+++ b/internal/change/rollout/evidence.go
@@ -1,8 +1,9 @@
 package rollout
 
 import (
+	"cmp"
 	"math"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -236,17 +237,35 @@
 		if m.outcomes[k].Recorded {
 			continue
 		}
-		for key, s := range r.statsByKey {
-			if key.instance == m.instance {
-				all = append(all, s)
-			}
+		all = append(all, r.stats(func(instance string) bool { return instance == m.instance })...)
+	}
+	return all
+}
+
+// EndedStats returns the stats of instances that have ended, of the rollouts without a recorded
+// outcome. The instances that started later know them from others only.
+func (m *Manager) EndedStats(alive func(instance string) bool) []lacewingramp.RolloutStats {
+	var all []lacewingramp.RolloutStats
+	for _, k := range m.order {
+		if m.outcomes[k].Recorded {
+			continue
 		}
+		all = append(all, m.rollouts[k].stats(func(instance string) bool { return instance != m.instance && !alive(instance) })...)
 	}
-	sort.Slice(all, func(i, j int) bool {
-		if all[i].Route != all[j].Route {
-			return all[i].Route < all[j].Route
+	return all
+}
+
+// stats returns the latest stats of the instances that match, ordered by instance, route and
+// version.
+func (r *rollout) stats(match func(instance string) bool) []lacewingramp.RolloutStats {
+	var all []lacewingramp.RolloutStats
+	for key, s := range r.statsByKey {
+		if match(key.instance) {
+			all = append(all, s)
 		}
-		return all[i].Version < all[j].Version
+	}
+	slices.SortFunc(all, func(a, b lacewingramp.RolloutStats) int {
+		return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Route, b.Route), cmp.Compare(a.Version, b.Version))
 	})
 	return all
 }
--- a/internal/change/rollout/rollout.go
+++ b/internal/change/rollout/rollout.go
@@ -57,6 +57,9 @@
 	StateRolledBack chart.State = lacewingramp.StatusRolledBack
 )
 
+// evidenceDelay is how long after its start an instance may not have the others' evidence yet.
+const evidenceDelay = 2 * time.Second
+
 // Manager carries out the rollouts of a Table at one instance. versions maps each
 // service to its version before any rollout. rollouts and outcomes are keyed by
 // rolloutID, and order lists the keys of rollouts by start.
@@ -66,6 +69,8 @@
 	rollouts map[string]*rollout
 	outcomes map[string]lacewingramp.RolloutOutcome
 	order    []string
+	// firstTick is when this instance began to evaluate rollouts.
+	firstTick time.Time
 }
 
 // rollout is the state of one rollout at this instance. row is its row in the Table,
@@ -200,6 +205,9 @@
 // has now decided on, to be written to the store. recordsAt is a time up to which this
 // instance knows all outcomes in the store, zero for none.
 func (m *Manager) Tick(now, recordsAt time.Time) []lacewingramp.RolloutOutcome {
+	if m.firstTick.IsZero() {
+		m.firstTick = now
+	}
 	var all []lacewingramp.RolloutOutcome
 	for _, k := range m.order {
 		r := m.rollouts[k]
@@ -207,6 +215,9 @@
 			continue
 		}
 		decided := r.evaluate(now, recordsAt, chart.State(m.outcomes[k].State))
+		if decided == StateDone && now.Sub(m.firstTick) < evidenceDelay {
+			decided = ""
+		}
 		if decided == "" {
 			delete(m.outcomes, k)
 			continue
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -42,6 +42,7 @@
 	"lacewingramp.example/lacewingramp/internal/limit/share"
 	"lacewingramp.example/lacewingramp/internal/peer/follower"
 	"lacewingramp.example/lacewingramp/internal/peer/heartbeat"
+	"lacewingramp.example/lacewingramp/internal/peer/rotation"
 	"lacewingramp.example/lacewingramp/internal/report/loglimit"
 	"lacewingramp.example/lacewingramp/internal/steer/placement"
 	"lacewingramp.example/lacewingramp/internal/steer/reach"
@@ -183,13 +184,15 @@
 	retryBudget retry.Budget
 	poisonGuard poison.Guard
 	rollouts    *rollout.Manager
-	orders      map[string]*order
-	roundRobins map[string]*weightedRoundRobin
-	peers       heartbeat.Peers
-	expired     map[string]time.Time
-	reverted    map[string]time.Time
-	probes      map[string]*probe
-	reach       reach.Monitor
+	// statsRotation selects the stats of ended instances for the next heartbeat.
+	statsRotation rotation.Rotation
+	orders        map[string]*order
+	roundRobins   map[string]*weightedRoundRobin
+	peers         heartbeat.Peers
+	expired       map[string]time.Time
+	reverted      map[string]time.Time
+	probes        map[string]*probe
+	reach         reach.Monitor
 	// reachCheck is closed when the check of the targets that is in progress ends. It is
 	// nil if there is none.
 	reachCheck chan struct{}
@@ -228,7 +231,7 @@
 	e.tokenReplies = make(map[uint64]chan *lacewingramp.TokenReply)
 	e.poolBackoff = make(map[string]time.Time)
 	e.poisonGuard = poison.Guard{Instance: s.Name}
-	e.rollouts = rollout.NewManager(s.Name + startSeparator + now.Format(time.RFC3339Nano))
+	e.rollouts = rollout.NewManager(statsName(s.Name, now))
 	e.orders = make(map[string]*order)
 	e.roundRobins = make(map[string]*weightedRoundRobin)
 	e.expired = make(map[string]time.Time)
@@ -240,11 +243,6 @@
 	return e
 }
 
-// startSeparator separates an instance's name from its start time in the name under
-// which the instance reports its RolloutStats. That name is new at every start because
-// the counts start again from 0.
-const startSeparator = "/"
-
 // Run serves until ctx ends, then drains and stops.
 func (e *Edge) Run(ctx context.Context) error {
 	callerListener, err := net.Listen("tcp4", e.CallerAddress)
--- a/internal/entry/edge/edge_heartbeat.go
+++ b/internal/entry/edge/edge_heartbeat.go
@@ -78,7 +78,7 @@
 	return &lacewingramp.Heartbeat{
 		Endpoint: self, Ready: e.Ready(), Revision: e.mirror.Position().Revision, Epoch: e.mirror.Position().Epoch,
 		ReachesStore: !e.store.lost, WatchesStore: e.watches(now), CutOff: e.reach.CutOff(), RequestRate: float32(e.requestRate),
-		CrashCounts: e.poisonGuard.HeartbeatCounts(now), RolloutStats: e.rollouts.RolloutStats(), Outcomes: e.rollouts.Outcomes(now),
+		CrashCounts: e.poisonGuard.HeartbeatCounts(now), RolloutStats: e.rolloutStats(now), Outcomes: e.rollouts.Outcomes(now),
 		Confirmation: e.latestConfirmation(now), LeavingTargets: e.placer.LeavingTargets(now),
 	}
 }
--- a/internal/entry/edge/fleet_test.go
+++ b/internal/entry/edge/fleet_test.go
@@ -169,6 +169,18 @@
 	s.nextTick, s.nextRenew = s.nextTick.Add(ahead), s.nextRenew.Add(ahead)
 }
 
+// restart starts an instance again, which keeps nothing of what it knew.
+func (s *simulatedInstance) restart() {
+	before := s.Edge
+	s.Edge = New(before.Settings, before.Dependencies)
+	s.call, s.heartbeats, s.writes = simulatedCall{}, nil, nil
+	s.renewFails, s.checkEnds, s.catchUpPeer = time.Time{}, time.Time{}, nil
+	s.take(s.fleet.revision)
+	for _, p := range s.fleet.instances {
+		s.peers.MarkRegistered(s.Timer.Now(), p.self)
+	}
+}
+
 // upTo returns a random duration.
 func (f *simulatedFleet) upTo(d time.Duration) time.Duration {
 	return time.Duration(f.random.Int64N(int64(d)))
--- a/internal/entry/edge/outcome_test.go
+++ b/internal/entry/edge/outcome_test.go
@@ -320,6 +320,39 @@
 	return wrong
 }
 
+// restartInTurn starts one instance after another again during a rollout. It returns those
+// that do not have nearly all the evidence a while later.
+func restartInTurn(seed uint64) (lacking []string) {
+	const (
+		size, restarted = 10, 7
+		first, gap      = 2 * time.Second, 1200 * time.Millisecond
+		exchangeTime    = 2 * time.Second
+		nearlyAll       = 0.95
+	)
+	f := newRolloutFleet(seed, rolloutScenario{size: size})
+	f.order("v2")
+	f.play(first)
+	for _, s := range f.instances[:restarted] {
+		s.restart()
+		f.play(gap)
+	}
+	f.play(exchangeTime)
+	requests := func(s *simulatedInstance) float64 {
+		status := s.localStatus(s.orders["s"])
+		return float64(status.Old.Requests + status.New.Requests)
+	}
+	whole := 0.0
+	for _, s := range f.instances {
+		whole = max(whole, requests(s))
+	}
+	for _, s := range f.instances {
+		if requests(s) < nearlyAll*whole {
+			lacking = append(lacking, fmt.Sprintf("%s has evidence of %.0f requests of %.0f", s.Name, requests(s), whole))
+		}
+	}
+	return lacking
+}
+
 // faultsOfOrder returns the faults until now, and forgets them.
 func (f *rolloutFleet) faultsOfOrder() []string {
 	all := slices.Sorted(maps.Keys(f.faults))
@@ -354,4 +387,13 @@
 		ginkgo.Entry("bad version, a domain is cut off until after the next order", rolloutScenario{size: 8, bad: true, disturb: cutDomain, sooner: true}),
 		ginkgo.Entry("bad version, a third of the clocks is ahead", rolloutScenario{size: 8, bad: true, disturb: calm, skew: thirdAhead(8 * time.Second)}),
 	)
+
+	// Guards against a bad version that an instance records as done which has started during the
+	// rollout and has not got the evidence of those that ended.
+
+	// Guards against a bad version that an instance records as done which has started during the
+	// rollout and has not got the evidence of those that ended.
+	ginkgo.It("rests on the evidence of ended instances too, at those that started later", func() {
+		expectForSeeds(seeds, restartInTurn)
+	})
 })
--- a/internal/entry/instance/instance_digest.go
+++ b/internal/entry/instance/instance_digest.go
@@ -23,7 +23,7 @@
 		Claims:         sortedClaims(i.State.Claims),
 		CrashCounts:    i.State.Guard.CrashCounts(now),
 		Relayed:        i.State.Roster.DigestsToRelay(now, domain),
-		RolloutStats:   i.State.Rollouts.RolloutStats(),
+		RolloutStats:   append(i.State.Rollouts.RolloutStats(), i.State.Rollouts.EndedStats(i.isLive(now))...),
 		Outcomes:       i.State.Rollouts.Outcomes(now),
 	}
 	if tableIndex := i.State.Index(); tableIndex != nil {
@@ -42,6 +42,14 @@
 	return d
 }
 
+// isLive returns whether an instance is live, by name. The caller must hold the State's lock.
+func (i *Instance) isLive(now time.Time) func(name string) bool {
+	return func(name string) bool {
+		m, ok := i.State.Roster.Find(name)
+		return ok && m.Live(now)
+	}
+}
+
 func isCustomer(s lacewingramp.Subject) bool {
 	return s.Kind == lacewingramp.SubjectCustomer
 }
