Write a rollout's record on the revision that it was decided on

An instance decided on a record with the store's status at hand, and looked up the revision for its compare-and-swap a moment later: a record that had arrived in between was replaced by it. The revision is now that of the decision.

--- a/internal/entry/edge/edge_record.go
+++ b/internal/entry/edge/edge_record.go
@@ -28,6 +28,14 @@
 	value string
 }
 
+// dueWrite is the pending write of an order that has to be made now. base is the revision of
+// its key on which the write was decided.
+type dueWrite struct {
+	order *order
+	write write
+	base  int64
+}
+
 // pendingWrite returns the write of the next record that the store lacks for an order:
 // its start, the start of its ramp, or its status. It is empty if none is missing.
 func (e *Edge) pendingWrite(o *order) (write, error) {
@@ -82,21 +90,18 @@
 	return waited >= time.Duration(turn)*takeoverStep
 }
 
-// write writes a record, unless its key has changed in the store since the revision in
-// the mirror. After a conflict or an unknown outcome, the mirror shows whether to write
-// again.
-func (e *Edge) write(ctx context.Context, o *order, w write) {
+// write writes a record, unless its key has changed in the store since it was decided. After
+// a conflict or an unknown outcome, the mirror shows whether to write again.
+func (e *Edge) write(ctx context.Context, d dueWrite) {
 	writeCtx, cancel := context.WithTimeout(ctx, rolloutWriteTimeout)
 	defer cancel()
-	e.mu.Lock()
-	known, _ := e.mirror.KeyValue(w.key)
-	e.mu.Unlock()
-	_, err := e.Store.CompareAndSwap(writeCtx, w.key, []byte(w.value), known.Revision, 0)
+	w := d.write
+	_, err := e.Store.CompareAndSwap(writeCtx, w.key, []byte(w.value), d.base, 0)
 	if err != nil && !errors.Is(err, lacewingramp.ErrConflict) {
 		e.Log.Warn().Err(err).Str("key", w.key).Msg("could not write a rollout record")
 	}
 	e.Log.Info().Str("key", w.key).Bool("written", err == nil).Str("value", w.value).Msg("rollout written")
-	e.endWrite(o)
+	e.endWrite(d.order)
 }
 
 // endWrite ends a write after the mirror has had time to receive it.
--- a/internal/entry/edge/edge_rollout.go
+++ b/internal/entry/edge/edge_rollout.go
@@ -80,14 +80,14 @@
 
 // tickRollouts advances the rollouts and writes the records that the store lacks.
 func (e *Edge) tickRollouts(ctx context.Context, now time.Time) {
-	for _, o := range e.advanceRollouts(now) {
-		go e.write(ctx, o, o.pending)
+	for _, d := range e.advanceRollouts(now) {
+		go e.write(ctx, d)
 	}
 }
 
-// advanceRollouts advances the rollouts. It returns the orders of which this instance has to
-// write the pending record now, and marks these as being written.
-func (e *Edge) advanceRollouts(now time.Time) (due []*order) {
+// advanceRollouts advances the rollouts. It returns the records that this instance has to
+// write now, and marks their orders as being written.
+func (e *Edge) advanceRollouts(now time.Time) (due []dueWrite) {
 	for _, o := range e.rollouts.Tick(now, e.store.freshness.Complete().At) {
 		e.Log.Info().Str("rollout", o.Rollout).Str("state", o.State).Str("reason", o.Reason).Msg("rollout decided")
 	}
@@ -103,7 +103,8 @@
 		}
 		if w.key != "" && !o.writing && e.shouldWrite(now, o) {
 			o.writing = true
-			due = append(due, o)
+			known, _ := e.mirror.KeyValue(w.key)
+			due = append(due, dueWrite{order: o, write: w, base: known.Revision})
 		}
 	}
 	return due
--- a/internal/entry/edge/fleet_test.go
+++ b/internal/entry/edge/fleet_test.go
@@ -116,13 +116,11 @@
 	heartbeat *lacewingramp.Heartbeat
 }
 
-// simulatedWrite is a record that an instance writes to the store, if that has still the
-// revision base of its key when it is due.
+// simulatedWrite is a record that an instance writes to the store, where it arrives when it is
+// due.
 type simulatedWrite struct {
-	due   time.Time
-	order *order
-	write write
-	base  int64
+	dueWrite
+	due time.Time
 }
 
 // ignoreChanges decodes each change as one of an unknown kind.
@@ -303,9 +301,8 @@
 		s.fleet.onTick(s, now)
 	}
 	s.updateFollowAddress(now)
-	for _, o := range s.advanceRollouts(now) {
-		known, _ := s.mirror.KeyValue(o.pending.key)
-		s.writes = append(s.writes, simulatedWrite{due: now.Add(otherRegionDelay), order: o, write: o.pending, base: known.Revision})
+	for _, d := range s.advanceRollouts(now) {
+		s.writes = append(s.writes, simulatedWrite{dueWrite: d, due: now.Add(otherRegionDelay)})
 	}
 	own, others := s.peers.NextRound()
 	h := s.newHeartbeat(now)
