--- a/internal/call/caller/caller.go
+++ b/internal/call/caller/caller.go
@@ -42,8 +42,8 @@
 )
 
 // Handler returns the response to a request whose first byte arrived at
-// receivedAt. It is released once it has been sent. A nil response closes the connection. ctx is cancelled when the
-// caller disconnects.
+// receivedAt. It is released once it has been sent. A nil response closes the
+// connection. ctx is cancelled when the caller disconnects.
 type Handler func(ctx context.Context, r *message.Request, receivedAt time.Time) *message.Response
 
 // Server serves callers' connections. Its fields must be set before Serve.
--- a/internal/call/message/budget.go
+++ b/internal/call/message/budget.go
@@ -6,9 +6,9 @@
 )
 
 // Budget bounds the memory of all response bodies that are being read, or were read and not
-// released, at one time. A body takes memory from it only beyond the size of an ordinary one, so that ordinary
-// responses are still read while others have used it up. A nil Budget has no bound. It
-// is safe for concurrent use.
+// released, at one time. A body takes memory from it only beyond the size of an ordinary
+// one, so that ordinary responses are still read while others have used it up. A nil
+// Budget has no bound. It is safe for concurrent use.
 type Budget struct {
 	free atomic.Int64
 }
--- a/internal/call/message/message.go
+++ b/internal/call/message/message.go
@@ -117,9 +117,9 @@
 	errBodySize   error = &FormatError{Status: http.StatusBadGateway, Detail: "response body too large"}
 )
 
-// limitReader fails after the remaining bytes have been read, or remainingLines line feeds. It
-// reads the bytes of a buffer that holds the last of these whole. There is no limit if remaining is negative. err is the last error of
-// the reader below it.
+// limitReader fails after the remaining bytes have been read, or a buffer that holds the
+// last of remainingLines line feeds. There is no limit if remaining is negative. err is the
+// last error of the reader below it.
 type limitReader struct {
 	reader         io.Reader
 	remaining      int64
--- a/internal/change/rollout/evidence.go
+++ b/internal/change/rollout/evidence.go
@@ -234,41 +234,31 @@
 // RolloutStats returns this instance's own stats of the rollouts without a recorded outcome,
 // ordered by route and version.
 func (m *Manager) RolloutStats() []lacewingramp.RolloutStats {
-	var all []lacewingramp.RolloutStats
-	for _, k := range m.order {
-		r := m.rollouts[k]
-		if m.outcomes[k].Recorded {
-			continue
-		}
-		all = append(all, r.stats(func(instance string) bool { return instance == m.instance })...)
-	}
-	return all
+	return m.stats(func(instance string) bool { return instance == m.instance })
 }
 
 // EndedStats returns the stats of instances that have ended, of the rollouts without a recorded
 // outcome. The instances that started later know them from others only.
 func (m *Manager) EndedStats(alive func(instance string) bool) []lacewingramp.RolloutStats {
+	return m.stats(func(instance string) bool { return instance != m.instance && !alive(instance) })
+}
+
+// stats returns the latest stats of the instances that match, of the rollouts without a
+// recorded outcome, ordered by instance, route and version.
+func (m *Manager) stats(match func(instance string) bool) []lacewingramp.RolloutStats {
 	var all []lacewingramp.RolloutStats
-	for _, k := range m.order {
+	for k, r := range m.rollouts {
 		if m.outcomes[k].Recorded {
 			continue
 		}
-		all = append(all, m.rollouts[k].stats(func(instance string) bool { return instance != m.instance && !alive(instance) })...)
-	}
-	return all
-}
-
-// stats returns the latest stats of the instances that match, ordered by instance, route and
-// version.
-func (r *rollout) stats(match func(instance string) bool) []lacewingramp.RolloutStats {
-	var all []lacewingramp.RolloutStats
-	for key, s := range r.statsByKey {
-		if match(key.instance) {
-			all = append(all, s)
+		for key, s := range r.statsByKey {
+			if match(key.instance) {
+				all = append(all, s)
+			}
 		}
 	}
 	slices.SortFunc(all, func(a, b lacewingramp.RolloutStats) int {
-		return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Route, b.Route), cmp.Compare(a.Version, b.Version))
+		return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Rollout, b.Rollout), cmp.Compare(a.Route, b.Route), cmp.Compare(a.Version, b.Version))
 	})
 	return all
 }
--- a/internal/change/rollout/outcome.go
+++ b/internal/change/rollout/outcome.go
@@ -119,13 +119,14 @@
 	return m.outcomes[rolloutID(o.Rollout, o.Start)].State == o.State
 }
 
-// AwaitsRecord reports whether a rollout has no outcome in time, so that the store has to be
-// asked whether another instance has recorded one.
+// AwaitsRecord reports whether a rollout is decided on by this instance or has no outcome in
+// time, so that the store has to be asked for what is recorded.
 func (m *Manager) AwaitsRecord(now time.Time) bool {
 	for _, k := range m.order {
 		r := m.rollouts[k]
 		inTime := now.Before(r.deadline) && (r.state != StateCanary || now.Before(r.timeAt(canaryDeadline)))
-		if _, decided := m.outcomes[k]; !decided && !inTime {
+		o, decided := m.outcomes[k]
+		if !o.Recorded && (decided || !inTime) {
 			return true
 		}
 	}
--- a/internal/change/rollout/outcome_test.go
+++ b/internal/change/rollout/outcome_test.go
@@ -88,8 +88,12 @@
 		gomega.Expect(m.AwaitsRecord(end)).To(gomega.BeTrue())
 		version, _ := m.Choose(end, service, "")
 		gomega.Expect(version).To(gomega.Equal(oldVersion))
-		gomega.Expect(m.Tick(end, end)).To(gomega.HaveLen(1))
+		decided := m.Tick(end, end)
+		gomega.Expect(decided).To(gomega.HaveLen(1))
 		gomega.Expect(state()).To(gomega.Equal(string(StateRolledBack)))
+		gomega.Expect(m.AwaitsRecord(end)).To(gomega.BeTrue())
+		m.ApplyRecord(decided[0])
+		gomega.Expect(m.AwaitsRecord(end)).To(gomega.BeFalse())
 	})
 
 	// Guards against earlier builds that let a rollback replace a record.
