Test responses without end in trailers

They are cut off at once, before and after the changes of this issue: a response to it is MayHaveRun and the connection is not used again.

--- a/internal/call/exchange/endless_test.go
+++ b/internal/call/exchange/endless_test.go
@@ -88,6 +88,8 @@
 		ginkgo.Entry("in large responses to other requests", "", "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 12000000\r\n\r\n"+strings.Repeat("x", 12_000_000)),
 		ginkgo.Entry("in lines that are not HTTP", "", "x\r\n"),
 		ginkgo.Entry("in extensions of chunks", head+"Transfer-Encoding: chunked\r\n\r\n", "1;"+strings.Repeat("x", 1<<10)+"\r\ny\r\n"),
+		ginkgo.Entry("in trailers", head+"Transfer-Encoding: chunked\r\n\r\n1\r\ny\r\n0\r\n", "X: y\r\n"),
+		ginkgo.Entry("in one trailer", head+"Transfer-Encoding: chunked\r\n\r\n1\r\ny\r\n0\r\nX: ", "y"),
 		ginkgo.Entry("in a body with a length", head+"Content-Length: 1000000000\r\n\r\n", "x"),
 		ginkgo.Entry("in a body without a length", head+"\r\n", "x"),
 		ginkgo.Entry("in a body in chunks", head+"Transfer-Encoding: chunked\r\n\r\n", "1000\r\n"+strings.Repeat("x", 0x1000)+"\r\n"),
