Look up live instances for a rollout's evidence only while there is one

Each heartbeat listed and sorted all live instances to find the evidence of ended ones, also without a rollout under way: needless work that grows with the fleet, four times a second. Found by reading the change once more. The list is now made at the first entry of evidence that needs it; what is sent is the same. The tests of entry/edge on outcomes and calls, and the linter, passed on it.

--- a/internal/entry/edge/edge_stats.go
+++ b/internal/entry/edge/edge_stats.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync"
 	"time"
 
 	"lacewingramp.example/lacewingramp"
@@ -24,14 +25,18 @@
 // rotation those of instances that have ended, which an instance that has started since can
 // learn from others only.
 func (e *Edge) rolloutStats(now time.Time) []lacewingramp.RolloutStats {
-	started := make(map[string]int64)
-	for _, p := range e.peers.Alive(now) {
-		started[p.Name] = p.StartMillis
-	}
+	// Without a rollout under way there is nothing to look up.
+	started := sync.OnceValue(func() map[string]int64 {
+		all := make(map[string]int64)
+		for _, p := range e.peers.Alive(now) {
+			all[p.Name] = p.StartMillis
+		}
+		return all
+	})
 	ended := e.rollouts.EndedStats(func(reporter string) bool {
 		name, start, _ := strings.Cut(reporter, startSeparator)
 		startedAt, err := time.Parse(time.RFC3339Nano, start)
-		return err == nil && started[name] == startedAt.UnixMilli()
+		return err == nil && started()[name] == startedAt.UnixMilli()
 	})
 	return append(e.rollouts.RolloutStats(), rotation.Select(&e.statsRotation, ended, 0, endedPerHeartbeat)...)
 }
