Choose addresses for tests below the system's ports, and tell why an instance cannot listen

Cause, likely: an address was chosen by opening a listener on port 0 and closing it. The system may give that port to the next listener, or to an outgoing connection, before the instance listens on it; the instance then ends at once and is never ready.

A test in which an instance ends with an error fails with that error.

--- a/e2e/deployment_test.go
+++ b/e2e/deployment_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -24,6 +23,7 @@
 	"lacewingramp.example/lacewingramp/internal/entry/instance"
 	"lacewingramp.example/lacewingramp/internal/platform/memory"
 	"lacewingramp.example/lacewingramp/internal/platform/target"
+	"lacewingramp.example/lacewingramp/internal/proof/loopback"
 	"lacewingramp.example/lacewingramp/internal/report/page"
 )
 
@@ -83,30 +83,11 @@
 	sequence     int
 }
 
-// Range of the ports that programs listen on, and the distance between the first ports
-// of test processes with consecutive ids. The range is below the system's ephemeral
-// ports, so that no outgoing connection can take a port after it was chosen.
-const (
-	firstPort = 15000
-	portCount = 15000
-	portStep  = 97
-)
-
-var nextPort = os.Getpid() * portStep % portCount
-
+// freeAddress returns an unused loopback address.
 func freeAddress() string {
-	for range portCount {
-		nextPort = (nextPort + 1) % portCount
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		gomega.Expect(l.Close()).To(gomega.Succeed())
-		return address
-	}
-	ginkgo.Fail("no free port")
-	return ""
+	address, err := loopback.Free()
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return address
 }
 
 // deploy starts a deployment with the bank's table and one instance for each element of
--- a/internal/entry/edge/fakes_test.go
+++ b/internal/entry/edge/fakes_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -21,6 +20,7 @@
 	"lacewingramp.example/lacewingramp/internal/config/mirror"
 	"lacewingramp.example/lacewingramp/internal/config/routing"
 	"lacewingramp.example/lacewingramp/internal/entry/edge"
+	"lacewingramp.example/lacewingramp/internal/proof/loopback"
 	"lacewingramp.example/lacewingramp/internal/report/meter"
 	"lacewingramp.example/lacewingramp/internal/timer/wall"
 )
@@ -317,10 +317,9 @@
 
 // freeAddress returns an unused loopback address.
 func freeAddress() string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	address, err := loopback.Free()
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 // testTable returns a table with the given revision.
@@ -393,8 +392,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
+		defer ginkgo.GinkgoRecover()
 		defer close(done)
-		_ = e.Run(ctx)
+		gomega.Expect(e.Run(ctx)).To(gomega.Succeed())
 	}()
 	ginkgo.DeferCleanup(func() {
 		cancel()
