Roll back a canary of which few responses can be compared, if most are slow

Cause: of the canary's 150 requests 3 to 8 could be compared, as each instance has sent few objects twice to a target that has just started. 2 to 4 of these were slow, of the old version's 1 of 300. That is less than the minimum of 8 slow ones, so the canary went on to the ramp at 0.7 of the window as if nothing spoke against it, and was found or ran out 2 to 4 s later.

Change: a canary that has run out of time with fewer than 25 compared responses is rolled back if at least 3 of them were slow and that is e^8 times likelier of a worse version, or it gets nothing if it is not known whether the store has an outcome, so that an instance that is cut off decides nothing for the others on its own few responses.

--- a/internal/change/rollout/fault.go
+++ b/internal/change/rollout/fault.go
@@ -318,8 +318,13 @@
 		}
 	}
 	old := r.all.old.total()
-	tolerated := min(maxToleratedRate, old.failures/max(1, old.count)*rateTolerance+priorFaultRate)
-	return failures >= minFailures && logLikelihoodRatio(failures, count, tolerated) >= suspicionThreshold
+	return failures >= minFailures && logLikelihoodRatio(failures, count, toleratedOf(old.failures, old.count)) >= suspicionThreshold
+}
+
+// toleratedOf returns the fraction of requests in which a version as good as the old one may
+// show a fault, if the old one has shown it in faults of count.
+func toleratedOf(faults, count float64) float64 {
+	return min(maxToleratedRate, faults/max(1, count)*rateTolerance+priorFaultRate)
 }
 
 // logLikelihoodRatio returns how much more likely a number of faults among count responses is
@@ -332,6 +337,16 @@
 	return faults*math.Log(own/rate) + (count-faults)*math.Log((1-own)/(1-rate))
 }
 
+// slowOfFew reports whether fewer responses could be compared than a canary waits for, and more
+// of them were slow than is likely of a version like the old one, its slow targets included.
+func (r *rollout) slowOfFew() bool {
+	added, old := r.all.new.total(), r.all.old.total()
+	if added.compared >= minCompared || added.slow < minThinSlow {
+		return false
+	}
+	return logLikelihoodRatio(added.slow, added.compared, toleratedOf(old.slow, old.compared)) >= suspicionThreshold
+}
+
 // thinAndSlow reports whether few responses could be compared and too many of them were slow.
 func (r *rollout) thinAndSlow() bool {
 	c := r.all.new.total()
--- a/internal/change/rollout/rollout.go
+++ b/internal/change/rollout/rollout.go
@@ -94,6 +94,9 @@
 	all         route
 	routes      map[string]*route
 	evaluatedAt time.Time
+	// inDoubt is set after the canary's time if only few responses could be compared and too
+	// many of them were slow.
+	inDoubt     bool
 	statsByKey  map[statsKey]lacewingramp.RolloutStats
 	// unfinished counts this instance's attempts that ended without a response, by
 	// version.
@@ -251,15 +254,20 @@
 	if reason, bad := r.findFault(); bad {
 		return r.rollBack(now, "fault", reason)
 	}
-	if r.state == StateCanary && r.enoughRequests() && (r.compared() >= minCompared || !now.Before(r.timeAt(canaryDeadline))) {
+	canaryEnded := !now.Before(r.timeAt(canaryDeadline))
+	r.inDoubt = canaryEnded && r.slowOfFew()
+	if r.state == StateCanary && r.enoughRequests() && !r.inDoubt && (canaryEnded || r.compared() >= minCompared) {
 		r.transition(now, "evidence", "")
 	}
+	knowsCanary := !recordsAt.Before(r.timeAt(canaryDeadline))
 	switch {
 	case !now.Before(r.deadline) && proposed == StateDone:
 		return StateDone
+	case r.inDoubt && knowsCanary:
+		return r.rollBack(now, "fault", r.all.reason(slowFault, "all routes")+", too few to go on")
 	case r.isLate(recordsAt):
 		return r.rollBack(now, "late", "not done by its deadline")
-	case r.state == StateCanary && !recordsAt.Before(r.timeAt(canaryDeadline)):
+	case r.state == StateCanary && knowsCanary:
 		return r.rollBack(now, "late", "too little evidence")
 	case r.state == StateRamp && !now.Before(r.timeAt(earliestDone)) && now.Before(r.deadline) && r.mayBeDone(now):
 		return StateDone
--- a/internal/change/rollout/share.go
+++ b/internal/change/rollout/share.go
@@ -105,10 +105,12 @@
 }
 
 // share returns the planned share of the new version in the service's requests, as a
-// fraction. It is 0 once the state has lasted too long: other instances may have rolled the
-// version back.
+// fraction. It is 0 in doubt, and once the state has lasted too long: other instances may have
+// rolled the version back.
 func (r *rollout) share(now time.Time) float64 {
 	switch {
+	case r.inDoubt:
+		return 0
 	case r.state == StateCanary && now.Before(r.timeAt(canaryDeadline)):
 		return r.row.CanaryFraction
 	case r.state == StateRamp && now.Before(r.deadline):
--- a/internal/entry/edge/outcome_test.go
+++ b/internal/entry/edge/outcome_test.go
@@ -388,9 +388,6 @@
 		ginkgo.Entry("bad version, a third of the clocks is ahead", rolloutScenario{size: 8, bad: true, disturb: calm, skew: thirdAhead(8 * time.Second)}),
 	)
 
-	// Guards against a bad version that an instance records as done which has started during the
-	// rollout and has not got the evidence of those that ended.
-
 	// Guards against a bad version that an instance records as done which has started during the
 	// rollout and has not got the evidence of those that ended.
 	ginkgo.It("rests on the evidence of ended instances too, at those that started later", func() {
