Bound the events that a watch of the older path reads

A store, or whatever answers in its place, that sends an event without end was read until the memory of the instance was used up; the requests of its callers end with it.

Cause: the decoder reads a whole event and has no bound.

Change: a watch ends once more than 16 MiB of one event were read, as for other responses of the store. The reader is that of followers' queries, now internal/call/stream for both.

Test: "ends a watch whose event has no end" read all 128 MiB before.

--- a/internal/peer/follower/follower.go
+++ b/internal/peer/follower/follower.go
@@ -25,6 +25,7 @@
 	"github.com/go-faster/errors"
 
 	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/call/stream"
 )
 
 const (
@@ -108,11 +109,11 @@
 // error, after which the client opens a new one.
 func serveConn(c net.Conn, s Source, p *packer) {
 	defer func() { _ = c.Close() }()
-	reader := &queryReader{conn: c}
+	reader := &stream.Reader{Reader: c, Max: maxQueryBytes}
 	decoder := cbor.NewDecoder(reader)
 	for {
 		_ = c.SetReadDeadline(time.Now().Add(idleTimeout))
-		reader.length = 0
+		reader.Next()
 		var q query
 		if err := decoder.Decode(&q); err != nil {
 			return
--- a/internal/peer/follower/transfer.go
+++ b/internal/peer/follower/transfer.go
@@ -26,10 +26,7 @@
 	maxReplyBytes = 64 << 20
 )
 
-var (
-	errReplyTooLong = errors.New("the reply is too long")
-	errQueryTooLong = errors.New("the query is too long")
-)
+var errReplyTooLong = errors.New("the reply is too long")
 
 // limits bounds a transfer. A zero field stands for its default.
 type limits struct {
@@ -84,21 +81,6 @@
 	return t != nil && time.Since(*t) < d
 }
 
-// queryReader reads queries from a connection. length is how much was read of the present one.
-type queryReader struct {
-	conn   net.Conn
-	length int
-}
-
-func (r *queryReader) Read(p []byte) (int, error) {
-	if r.length >= maxQueryBytes {
-		return 0, errQueryTooLong
-	}
-	n, err := r.conn.Read(p)
-	r.length += n
-	return n, err
-}
-
 // replyReader reads one reply from a connection on which the deadline of the first
 // byte is set. All later reads have to bring bytes within the time for progress, and
 // all of them together within the time for a transfer.
--- a/internal/platform/etcd/etcd_test.go
+++ b/internal/platform/etcd/etcd_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -85,6 +87,23 @@
 		gomega.Expect(m.Calls().Watches).To(gomega.Equal(int64(1)))
 	})
 
+	// Guards against running out of memory by a store, or whatever answers in its place, that
+	// sends an event without end.
+	ginkgo.It("ends a watch whose event has no end", func(ctx context.Context) {
+		const flood, block = 128 << 20, 64 << 10
+		var sent atomic.Int64
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, err := w.Write([]byte(`{"result":{"events":[{"kv":{"value":"`))
+			for b := bytes.Repeat([]byte("A"), block); err == nil && sent.Load() < flood; sent.Add(block) {
+				_, err = w.Write(b)
+			}
+		}))
+		ginkgo.DeferCleanup(s.Close)
+		err := (&etcd.Client{Address: s.URL}).Watch(ctx, "a", 0, func(lacewingramp.Change) {})
+		gomega.Expect(err).To(gomega.MatchError(lacewingramp.ErrUnreachable))
+		gomega.Expect(sent.Load()).To(gomega.BeNumerically("<", flood))
+	})
+
 	ginkgo.It("keeps the audit trail in the table and rejects an outdated base revision", func(ctx context.Context) {
 		t, err := sheet.Decode("t.csv", bytes.NewReader(examples.Kavach))
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
--- a/internal/platform/etcd/etcd_watch.go
+++ b/internal/platform/etcd/etcd_watch.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 
 	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/call/stream"
 )
 
 // Watch calls notify for each change of a key that begins with prefix, starting with
@@ -27,11 +29,14 @@
 	if resp.StatusCode != http.StatusOK {
 		return lacewingramp.ErrUnreachable
 	}
-	return readEvents(ctx, json.NewDecoder(resp.Body), notify)
+	return readEvents(ctx, resp.Body, notify)
 }
 
-func readEvents(ctx context.Context, decoder *json.Decoder, notify func(lacewingramp.Change)) error {
+func readEvents(ctx context.Context, body io.Reader, notify func(lacewingramp.Change)) error {
+	reader := &stream.Reader{Reader: body, Max: maxResponseBytes}
+	decoder := json.NewDecoder(reader)
 	for {
+		reader.Next()
 		var message WatchMessage
 		if err := decoder.Decode(&message); err != nil {
 			if ctx.Err() != nil {
