Test responses without end to relayed requests

The report of endless responses was gone through for relayed requests by reading only. The test passes on the code before: the instance that sends to the target ends it at once, and the one that relays gets its refusal. No change of the program.

--- a/internal/entry/edge/cut_test.go
+++ b/internal/entry/edge/cut_test.go
@@ -175,6 +175,21 @@
 		gomega.Expect(d.runs() - before).To(gomega.Equal(int32(1)))
 	})
 
+	// Guards against bytes without end that are kept, or waited for until the deadline, at the
+	// instance that relays the request or at the one that it is relayed to.
+	ginkgo.It("ends a relayed request whose target sends bytes without end", func() {
+		startInstances("a", "a")
+		d.cutOff(0)
+		d.mode(modeEndless)
+		gomega.Expect(d.request(0, "/order/1", "andes-key", "1").status).To(gomega.Equal(http.StatusBadGateway))
+		gomega.Eventually(func() (n int32) {
+			for _, t := range d.targets {
+				n += t.cutOff.Load()
+			}
+			return n
+		}).Should(gomega.Equal(int32(1)))
+	})
+
 	// Guards against a request that runs twice because its target sends the header with
 	// which instances tell each other the outcome.
 	ginkgo.It("takes no outcome from a target", func() {
