--- a/internal/change/rollout/rollout.go
+++ b/internal/change/rollout/rollout.go
@@ -96,8 +96,8 @@
 	evaluatedAt time.Time
 	// inDoubt is set after the canary's time if only few responses could be compared and too
 	// many of them were slow.
-	inDoubt     bool
-	statsByKey  map[statsKey]lacewingramp.RolloutStats
+	inDoubt    bool
+	statsByKey map[statsKey]lacewingramp.RolloutStats
 	// unfinished counts this instance's attempts that ended without a response, by
 	// version.
 	unfinished map[string]int64
