Derive what the older path has to record from the rollouts themselves

Change: both paths write what their rollouts hold as decided and not recorded (Manager.Unrecorded on the older one, the decided state on the platform's), and log adopted outcomes by one function.

Test: "is written by an instance that has taken it over from a peer" failed before (without its last line, which needs the new method). No change for serve but the place of the log line.

--- a/internal/change/rollout/outcome.go
+++ b/internal/change/rollout/outcome.go
@@ -34,6 +34,13 @@
 		Str("reason", a.Reason).Time("decided", a.DecidedAt)
 }
 
+// LogAdoptions logs outcomes that come from a peer, by name, or from the store.
+func LogAdoptions(log *zerolog.Logger, adopted []Adoption, source string) {
+	for _, a := range adopted {
+		log.Info().EmbedObject(a).Str("from", source).Msg("rollout outcome adopted")
+	}
+}
+
 // ApplyRecord applies the outcome that the store has for a rollout. It returns false if that
 // is known.
 func (m *Manager) ApplyRecord(o lacewingramp.RolloutOutcome) (Adoption, bool) {
@@ -113,10 +120,16 @@
 	return all
 }
 
-// Stands reports whether an outcome is the one that this instance has decided on or knows from
-// the store.
-func (m *Manager) Stands(o lacewingramp.RolloutOutcome) bool {
-	return m.outcomes[rolloutID(o.Rollout, o.Start)].State == o.State
+// Unrecorded returns the outcomes that this instance has decided on, or taken over from
+// another one, and does not know to be recorded.
+func (m *Manager) Unrecorded() []lacewingramp.RolloutOutcome {
+	var all []lacewingramp.RolloutOutcome
+	for _, k := range m.order {
+		if o, ok := m.outcomes[k]; ok && !o.Recorded {
+			all = append(all, o)
+		}
+	}
+	return all
 }
 
 // AwaitsRecord reports whether a rollout is decided on by this instance or has no outcome in
--- a/internal/entry/edge/edge_heartbeat.go
+++ b/internal/entry/edge/edge_heartbeat.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/change/rollout"
 )
 
 const (
@@ -133,9 +134,7 @@
 	e.handleDemand(h)
 	e.poisonGuard.Merge(now, h.CrashCounts)
 	adopted := e.rollouts.Record(h.RolloutStats, h.Outcomes)
-	for _, a := range adopted {
-		e.logAdoption(a, h.Endpoint.Name)
-	}
+	rollout.LogAdoptions(&e.Log, adopted, h.Endpoint.Name)
 	if len(adopted) > 0 {
 		e.configureRollouts(now)
 	}
--- a/internal/entry/edge/edge_rollout.go
+++ b/internal/entry/edge/edge_rollout.go
@@ -58,15 +58,10 @@
 		Rollout: o.rolloutName(), Start: o.startAt, State: o.storedStatus.State, Reason: "as the store has it", DecidedAt: now,
 	})
 	if changed {
-		e.logAdoption(a, "store")
+		rollout.LogAdoptions(&e.Log, []rollout.Adoption{a}, "store")
 	}
 }
 
-// logAdoption logs an outcome that comes from a peer or from the store.
-func (e *Edge) logAdoption(a rollout.Adoption, source string) {
-	e.Log.Info().EmbedObject(a).Str("from", source).Msg("rollout outcome adopted")
-}
-
 // localStatus returns the status of an order's rollout as this instance knows it. The
 // store may not hold it yet.
 func (e *Edge) localStatus(o *order) rollout.Status {
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -95,10 +95,8 @@
 	leaseRenewedAt      time.Time
 	registrationsReadAt time.Time
 	adoption            tableAdoption
-	// unsavedOutcomes holds the outcomes of this instance that may not be in the store yet,
-	// by outcomeKey. Those in the store are known up to outcomesReadAt, and were last
+	// The outcomes of rollouts in the store are known up to outcomesReadAt, and were last
 	// waited for at outcomesRequestedAt.
-	unsavedOutcomes     map[string]lacewingramp.RolloutOutcome
 	outcomesReadAt      time.Time
 	outcomesRequestedAt time.Time
 	storeRevision       int64
@@ -133,7 +131,7 @@
 	i := &Instance{
 		Dependencies: deps, State: state.New(self, s.SeedAddresses, h.Sum64()), Tally: &tally.Tally{},
 		ctx: ctx, cancel: cancel, lifecycle: lifecycle.Initial, runningTasks: make(map[string]bool),
-		unsavedOutcomes: make(map[string]lacewingramp.RolloutOutcome), targetClient: &attempt.Caller{},
+		targetClient: &attempt.Caller{},
 	}
 	i.State.TableConfirmedAt = deps.Timer.Now()
 	i.Dispatcher = &dispatch.Dispatcher{
--- a/internal/entry/instance/instance_digest.go
+++ b/internal/entry/instance/instance_digest.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/change/rollout"
 	"lacewingramp.example/lacewingramp/internal/peer/roster"
 	"lacewingramp.example/lacewingramp/internal/steer/resolver"
 )
@@ -133,7 +134,7 @@
 		revision = tableIndex.Table.Revision
 	}
 	i.State.Unlock()
-	i.logAdoptions(adopted, d.Name)
+	rollout.LogAdoptions(&i.Log, adopted, d.Name)
 	if d.Revision > revision {
 		i.fetchTableFromPeer(d.Endpoint)
 	}
--- a/internal/entry/instance/instance_rollout.go
+++ b/internal/entry/instance/instance_rollout.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"maps"
-	"slices"
 	"time"
 
 	"lacewingramp.example/lacewingramp"
@@ -16,56 +14,30 @@
 // handleOutcomes writes the outcomes that this instance has decided on to the store, and
 // tells the other instances of them immediately.
 func (i *Instance) handleOutcomes(all []lacewingramp.RolloutOutcome) {
-	i.mu.Lock()
 	for _, o := range all {
 		i.Log.Warn().Str("rollout", o.Rollout).Str("state", o.State).Str("reason", o.Reason).Msg("rollout decided")
-		i.unsavedOutcomes[outcomeKey(o)] = o
 	}
-	i.mu.Unlock()
 	i.startTask("exchange digests", func() { i.exchangeDigests(i.Timer.Now()) })
 	i.startTask("save outcomes", i.saveOutcomes)
 }
 
-// logAdoptions logs outcomes that come from a peer or from the store.
-func (i *Instance) logAdoptions(adopted []rollout.Adoption, source string) {
-	for _, a := range adopted {
-		i.Log.Info().EmbedObject(a).Str("from", source).Msg("rollout outcome adopted")
-	}
-}
-
 func outcomeKey(o lacewingramp.RolloutOutcome) string {
 	return lacewingramp.KeyRollouts + o.Rollout + "@" + o.Start.UTC().Format(time.RFC3339)
 }
 
-// saveOutcomes writes each outcome to the store, unless that has one. Outcomes that could not
-// be written are kept and tried again by readOutcomes.
+// saveOutcomes writes each outcome that is not recorded to the store, unless that has one.
+// Those that could not be written are tried again by readOutcomes.
 func (i *Instance) saveOutcomes() {
-	i.mu.Lock()
-	all := slices.Collect(maps.Values(i.unsavedOutcomes))
-	i.mu.Unlock()
+	i.State.Lock()
+	all := i.State.Rollouts.Unrecorded()
+	i.State.Unlock()
 	for _, o := range all {
-		if i.stands(o) {
-			record, ok := i.saveOutcome(o)
-			if !ok {
-				continue
-			}
+		if record, ok := i.saveOutcome(o); ok {
 			i.applyRecords([]lacewingramp.RolloutOutcome{record})
 		}
-		i.mu.Lock()
-		if i.unsavedOutcomes[outcomeKey(o)].State == o.State {
-			delete(i.unsavedOutcomes, outcomeKey(o))
-		}
-		i.mu.Unlock()
 	}
 }
 
-// stands reports whether the instance has not taken an outcome back.
-func (i *Instance) stands(o lacewingramp.RolloutOutcome) bool {
-	i.State.Lock()
-	defer i.State.Unlock()
-	return i.State.Rollouts.Stands(o)
-}
-
 // saveOutcome writes an outcome to the store and returns the one that the store has then. It
 // returns false if that is unknown.
 func (i *Instance) saveOutcome(o lacewingramp.RolloutOutcome) (record lacewingramp.RolloutOutcome, ok bool) {
@@ -111,7 +83,7 @@
 		}
 	}
 	i.State.Unlock()
-	i.logAdoptions(adopted, "store")
+	rollout.LogAdoptions(&i.Log, adopted, "store")
 }
 
 // readOutcomes applies the outcomes in the store, so that an instance learns of those
