--- a/internal/change/rollout/fault.go
+++ b/internal/change/rollout/fault.go
@@ -337,9 +337,9 @@
 	return faults*math.Log(own/rate) + (count-faults)*math.Log((1-own)/(1-rate))
 }
 
-// slowOfFew reports whether fewer responses could be compared than a canary waits for, and more
+// doubtfulCanary reports whether fewer responses could be compared than a canary waits for, and more
 // of them were slow than is likely of a version like the old one, its slow targets included.
-func (r *rollout) slowOfFew() bool {
+func (r *rollout) doubtfulCanary() bool {
 	added, old := r.all.new.total(), r.all.old.total()
 	if added.compared >= minCompared || added.slow < minThinSlow {
 		return false
@@ -347,8 +347,8 @@
 	return logLikelihoodRatio(added.slow, added.compared, toleratedOf(old.slow, old.compared)) >= suspicionThreshold
 }
 
-// thinAndSlow reports whether few responses could be compared and too many of them were slow.
-func (r *rollout) thinAndSlow() bool {
+// doubtfulAtEnd reports whether few responses could be compared and too many of them were slow.
+func (r *rollout) doubtfulAtEnd() bool {
 	c := r.all.new.total()
 	return c.compared < fewCompared && c.slow >= minThinSlow && c.slow >= (r.toleratedRate(&r.all, slowFault)+slowRateShift/2)*c.compared
 }
--- a/internal/change/rollout/rollout.go
+++ b/internal/change/rollout/rollout.go
@@ -255,19 +255,20 @@
 		return r.rollBack(now, "fault", reason)
 	}
 	canaryEnded := !now.Before(r.timeAt(canaryDeadline))
-	r.inDoubt = canaryEnded && r.slowOfFew()
+	r.inDoubt = canaryEnded && r.doubtfulCanary()
 	if r.state == StateCanary && r.enoughRequests() && !r.inDoubt && (canaryEnded || r.compared() >= minCompared) {
 		r.transition(now, "evidence", "")
 	}
-	knowsCanary := !recordsAt.Before(r.timeAt(canaryDeadline))
+	// Whether this instance knows that the store had no outcome when the canary's time was over.
+	knowsRecord := !recordsAt.Before(r.timeAt(canaryDeadline))
 	switch {
 	case !now.Before(r.deadline) && proposed == StateDone:
 		return StateDone
-	case r.inDoubt && knowsCanary:
+	case r.inDoubt && knowsRecord:
 		return r.rollBack(now, "fault", r.all.reason(slowFault, "all routes")+", too few to go on")
 	case r.isLate(recordsAt):
 		return r.rollBack(now, "late", "not done by its deadline")
-	case r.state == StateCanary && knowsCanary:
+	case r.state == StateCanary && knowsRecord:
 		return r.rollBack(now, "late", "too little evidence")
 	case r.state == StateRamp && !now.Before(r.timeAt(earliestDone)) && now.Before(r.deadline) && r.mayBeDone(now):
 		return StateDone
@@ -290,7 +291,7 @@
 // mayBeDone reports whether there is enough evidence and none against the new version.
 func (r *rollout) mayBeDone(now time.Time) bool {
 	total := r.all.new.total()
-	return total.compared >= minDoneCompared && total.loaded >= minDoneLoaded && !r.thinAndSlow() && !r.failsMore() && !r.failsUnderLoad() && !r.suspected(now)
+	return total.compared >= minDoneCompared && total.loaded >= minDoneLoaded && !r.doubtfulAtEnd() && !r.failsMore() && !r.failsUnderLoad() && !r.suspected(now)
 }
 
 // ResumeRamp moves a rollout to its ramp state, to which other instances moved it at
