Let an instance that comes back decide nothing on lack of evidence at once

An instance that was cut off, or has just started, knows from the store's position that there is no outcome before it has the others' evidence: it rolled back, on what it had seen itself, and its peers took that over. With the rule for canaries in doubt it could do so on a few slow responses of its own.

Cause: that it knows the records up to 0.7 of the window was taken for knowing the evidence up to then. Heartbeats bring these at different times.

Change: lack of evidence, and doubt, count only after it has known the outcomes in the store at every tick for 2 s. Until then the version gets nothing, as before. The older path asks the store also while it is in doubt.

--- a/internal/change/rollout/outcome.go
+++ b/internal/change/rollout/outcome.go
@@ -132,12 +132,12 @@
 	return all
 }
 
-// AwaitsRecord reports whether a rollout is decided on by this instance or has no outcome in
-// time, so that the store has to be asked for what is recorded.
+// AwaitsRecord reports whether a rollout is decided on by this instance, in doubt or without an
+// outcome in time, so that the store has to be asked for what is recorded.
 func (m *Manager) AwaitsRecord(now time.Time) bool {
 	for _, k := range m.order {
 		r := m.rollouts[k]
-		inTime := now.Before(r.deadline) && (r.state != StateCanary || now.Before(r.timeAt(canaryDeadline)))
+		inTime := !r.inDoubt && now.Before(r.deadline) && (r.state != StateCanary || now.Before(r.timeAt(canaryDeadline)))
 		o, decided := m.outcomes[k]
 		if !o.Recorded && (decided || !inTime) {
 			return true
--- a/internal/change/rollout/rollout.go
+++ b/internal/change/rollout/rollout.go
@@ -57,8 +57,14 @@
 	StateRolledBack chart.State = lacewingramp.StatusRolledBack
 )
 
-// evidenceDelay is how long after its start an instance may not have the others' evidence yet.
-const evidenceDelay = 2 * time.Second
+const (
+	// evidenceDelay is how long after its start, or after a cut, an instance may not have the
+	// others' evidence yet.
+	evidenceDelay = 2 * time.Second
+	// maxRecordsAge is the maximum time for which an instance that is not cut off may not know
+	// the outcomes in the store.
+	maxRecordsAge = 2 * time.Second
+)
 
 // Manager carries out the rollouts of a Table at one instance. versions maps each
 // service to its version before any rollout. rollouts and outcomes are keyed by
@@ -69,8 +75,10 @@
 	rollouts map[string]*rollout
 	outcomes map[string]lacewingramp.RolloutOutcome
 	order    []string
-	// firstTick is when this instance began to evaluate rollouts.
-	firstTick time.Time
+	// firstTick is when this instance began to evaluate rollouts, and inTouchSince since when it
+	// has known the outcomes in the store at every tick.
+	firstTick    time.Time
+	inTouchSince time.Time
 }
 
 // rollout is the state of one rollout at this instance. row is its row in the Table,
@@ -209,15 +217,19 @@
 // instance knows all outcomes in the store, zero for none.
 func (m *Manager) Tick(now, recordsAt time.Time) []lacewingramp.RolloutOutcome {
 	if m.firstTick.IsZero() {
-		m.firstTick = now
+		m.firstTick, m.inTouchSince = now, now
+	}
+	if now.Sub(recordsAt) > maxRecordsAge {
+		m.inTouchSince = now
 	}
+	hasEvidence := now.Sub(m.inTouchSince) >= evidenceDelay
 	var all []lacewingramp.RolloutOutcome
 	for _, k := range m.order {
 		r := m.rollouts[k]
 		if stateChart.Final(r.state) {
 			continue
 		}
-		decided := r.evaluate(now, recordsAt, chart.State(m.outcomes[k].State))
+		decided := r.evaluate(now, recordsAt, hasEvidence, chart.State(m.outcomes[k].State))
 		if decided == StateDone && now.Sub(m.firstTick) < evidenceDelay {
 			decided = ""
 		}
@@ -241,9 +253,9 @@
 }
 
 // evaluate advances a rollout. It returns the outcome that this instance decides on, or "".
-// proposed is StateDone if it has decided on that before, which it takes back if evidence
+// hasEvidence is set if it is likely to have all evidence of the others, and proposed is StateDone if it has decided on that before, which it takes back if evidence
 // against the new version comes until the deadline.
-func (r *rollout) evaluate(now, recordsAt time.Time, proposed chart.State) chart.State {
+func (r *rollout) evaluate(now, recordsAt time.Time, hasEvidence bool, proposed chart.State) chart.State {
 	r.fade(now)
 	if r.row.Cancelled {
 		return r.rollBack(now, "cancel", "cancelled by an operator")
@@ -259,16 +271,16 @@
 	if r.state == StateCanary && r.enoughRequests() && !r.inDoubt && (canaryEnded || r.compared() >= minCompared) {
 		r.transition(now, "evidence", "")
 	}
-	// Whether this instance knows that the store had no outcome when the canary's time was over.
-	knowsRecord := !recordsAt.Before(r.timeAt(canaryDeadline))
+	// Lack of evidence counts if the store had no outcome when the canary's time was over.
+	evidenceLacks := hasEvidence && !recordsAt.Before(r.timeAt(canaryDeadline))
 	switch {
 	case !now.Before(r.deadline) && proposed == StateDone:
 		return StateDone
-	case r.inDoubt && knowsRecord:
+	case r.inDoubt && evidenceLacks:
 		return r.rollBack(now, "fault", r.all.reason(slowFault, "all routes")+", too few to go on")
 	case r.isLate(recordsAt):
 		return r.rollBack(now, "late", "not done by its deadline")
-	case r.state == StateCanary && knowsRecord:
+	case r.state == StateCanary && evidenceLacks:
 		return r.rollBack(now, "late", "too little evidence")
 	case r.state == StateRamp && !now.Before(r.timeAt(earliestDone)) && now.Before(r.deadline) && r.mayBeDone(now):
 		return StateDone
