--- a/internal/change/rollout/rollout.go
+++ b/internal/change/rollout/rollout.go
@@ -253,8 +253,9 @@
 }
 
 // evaluate advances a rollout. It returns the outcome that this instance decides on, or "".
-// hasEvidence is set if it is likely to have all evidence of the others, and proposed is StateDone if it has decided on that before, which it takes back if evidence
-// against the new version comes until the deadline.
+// hasEvidence is set if it is likely to have all evidence of the others. proposed is StateDone
+// if it has decided on that before, which it takes back if evidence against the new version
+// comes until the deadline.
 func (r *rollout) evaluate(now, recordsAt time.Time, hasEvidence bool, proposed chart.State) chart.State {
 	r.fade(now)
 	if r.row.Cancelled {
--- a/internal/proof/loopback/loopback.go
+++ b/internal/proof/loopback/loopback.go
@@ -48,5 +48,5 @@
 
 // host returns the host of a process. The second byte is never 0, as in 127.0.0.1.
 func host(pid int) string {
-	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&0x3f, pid>>8&0xff, pid&0xff)
+	return fmt.Sprintf("127.%d.%d.%d", 1+(pid>>16)&0x3f, (pid>>8)&0xff, pid&0xff)
 }
