Bound the memory of the responses that the older path reads together

An instance that runs out of memory ends with its callers' requests.

Cause: a limit for each response only.

A response for which nothing is left is a 502 that may have run, as one that is too large. Once read, a response is no longer counted on this path; it may have to be kept for repeats.

Callers with a HEAD request are not affected: such a response has no body, whatever its length says.

--- a/internal/call/attempt/attempt.go
+++ b/internal/call/attempt/attempt.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/call/message"
 	"lacewingramp.example/lacewingramp/internal/steer/slot"
 )
 
@@ -58,6 +59,9 @@
 // Caller sends requests to targets. Its zero value is ready for use. It is safe
 // for concurrent use.
 type Caller struct {
+	// Budget bounds the memory of the responses that are being read, nil for no bound.
+	Budget *message.Budget
+
 	once     sync.Once
 	pooled   *http.Transport
 	unpooled *http.Transport
@@ -108,7 +112,7 @@
 		return transportFailure(ctx, err, wrote.Load())
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return readResponse(ctx, resp, t, r)
+	return c.readResponse(ctx, resp, t, r)
 }
 
 func newRequest(ctx context.Context, t lacewingramp.Target, r *lacewingramp.ForwardRequest, wrote *atomic.Bool) (*http.Request, error) {
@@ -170,13 +174,18 @@
 	return err.Error()
 }
 
-func readResponse(ctx context.Context, resp *http.Response, t lacewingramp.Target, r *lacewingramp.ForwardRequest) (Result, error) {
+func (c *Caller) readResponse(ctx context.Context, resp *http.Response, t lacewingramp.Target, r *lacewingramp.ForwardRequest) (Result, error) {
 	result := Result{Outcome: slot.OutcomeResponded, Leaving: resp.Header.Get(HeaderLeaving) != ""}
 	if resp.Header.Get(HeaderShed) != "" {
 		result.Outcome = slot.OutcomeShed
 		return result, lacewingramp.NewRefusal(lacewingramp.CauseTarget, "shed by the target")
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxResponseBytes+1))
+	body, err := c.readBody(resp)
+	var formatErr *message.FormatError
+	if errors.As(err, &formatErr) {
+		result.Outcome = slot.OutcomeFailed
+		return result, mayHaveRun(lacewingramp.CauseSize, formatErr.Detail)
+	}
 	if err != nil {
 		return transportFailure(ctx, err, true)
 	}
@@ -184,10 +193,6 @@
 		result.Outcome = slot.OutcomeFailed
 		return result, mayHaveRun(lacewingramp.CauseTarget, "the answer belongs to another request")
 	}
-	if len(body) > MaxResponseBytes {
-		result.Outcome = slot.OutcomeFailed
-		return result, mayHaveRun(lacewingramp.CauseSize, "the answer is too large")
-	}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		result.Outcome = slot.OutcomeFailed
 	}
@@ -197,6 +202,15 @@
 	return result, nil
 }
 
+func (c *Caller) readBody(resp *http.Response) ([]byte, error) {
+	length := resp.ContentLength
+	if resp.Body == http.NoBody {
+		// A response to a HEAD request states the length of another one.
+		length = 0
+	}
+	return c.Budget.ReadAll(resp.Body, length, MaxResponseBytes)
+}
+
 func mayHaveRun(cause lacewingramp.Cause, detail string) *lacewingramp.Refusal {
 	return &lacewingramp.Refusal{Verdict: lacewingramp.MayHaveRun, Cause: cause, Detail: detail}
 }
--- a/internal/call/message/body.go
+++ b/internal/call/message/body.go
@@ -23,19 +23,22 @@
 	taken  int
 }
 
-// readBody reads a body to its end. length is -1 if it is not known. The memory of a body that
-// was read stays taken.
-func readBody(r io.Reader, length int64, budget *Budget) (*body, error) {
+// readBody reads a body of at most limit bytes to its end. length is -1 if it is not known. The
+// memory of a body that was read stays taken.
+func readBody(r io.Reader, length int64, limit int, budget *Budget) (*body, error) {
+	if length > int64(limit) {
+		return nil, errBodySize
+	}
 	b := &body{budget: budget}
-	if err := b.read(r, length); err != nil {
+	if err := b.read(r, length, limit); err != nil {
 		b.budget.giveBack(b.taken)
 		return nil, err
 	}
 	return b, nil
 }
 
-func (b *body) read(r io.Reader, length int64) error {
-	limit, size := MaxResponseBody, unknownBodySize
+func (b *body) read(r io.Reader, length int64, limit int) error {
+	size := unknownBodySize
 	if length >= 0 {
 		limit, size = int(length), min(int(length), announcedBodySize)
 	}
--- a/internal/call/message/budget.go
+++ b/internal/call/message/budget.go
@@ -1,6 +1,7 @@
 package message
 
 import (
+	"io"
 	"net/http"
 	"sync/atomic"
 )
@@ -31,6 +32,18 @@
 	minBudget = 2 * MaxResponseBody
 )
 
+// ReadAll reads a response body of at most limit bytes to its end, and takes its memory from the
+// budget meanwhile. length is -1 if it is not known. A body that is too large, or for which the
+// budget has no memory left, is a FormatError.
+func (b *Budget) ReadAll(r io.Reader, length int64, limit int) ([]byte, error) {
+	read, err := readBody(r, length, limit, b)
+	if err != nil {
+		return nil, err
+	}
+	b.giveBack(read.taken)
+	return read.buf, nil
+}
+
 // take takes n bytes, and reports false if fewer are free.
 func (b *Budget) take(n int) bool {
 	if b == nil {
--- a/internal/call/message/message.go
+++ b/internal/call/message/message.go
@@ -277,10 +277,7 @@
 	if resp.Body == http.NoBody {
 		return response, nil
 	}
-	if resp.ContentLength > MaxResponseBody {
-		return nil, errBodySize
-	}
-	b, err := readBody(resp.Body, resp.ContentLength, r.Budget)
+	b, err := readBody(resp.Body, resp.ContentLength, MaxResponseBody, r.Budget)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -30,6 +30,7 @@
 
 	"lacewingramp.example/lacewingramp"
 	"lacewingramp.example/lacewingramp/internal/call/attempt"
+	"lacewingramp.example/lacewingramp/internal/call/message"
 	"lacewingramp.example/lacewingramp/internal/change/chart"
 	"lacewingramp.example/lacewingramp/internal/entry/dispatch"
 	"lacewingramp.example/lacewingramp/internal/entry/front"
@@ -57,6 +58,9 @@
 // instance with the same configured name.
 const nameSuffixLength = 8
 
+// processMemory is the memory that an instance counts on, in bytes.
+const processMemory = 1 << 30
+
 // Settings are the identity of an instance and the addresses it is reached at.
 type Settings struct {
 	Name   string
@@ -131,7 +135,7 @@
 	i := &Instance{
 		Dependencies: deps, State: state.New(self, s.SeedAddresses, h.Sum64()), Tally: &tally.Tally{},
 		ctx: ctx, cancel: cancel, lifecycle: lifecycle.Initial, runningTasks: make(map[string]bool),
-		targetClient: &attempt.Caller{},
+		targetClient: &attempt.Caller{Budget: message.NewBudget(processMemory)},
 	}
 	i.State.TableConfirmedAt = deps.Timer.Now()
 	i.Dispatcher = &dispatch.Dispatcher{
