--- a/GNUmakefile
+++ b/GNUmakefile
@@ -9,12 +9,16 @@
 WHY ?= run by hand
 DAYS ?= 40
 
+# SITES is the folder of the site files that REGRESSION lists.
+SITES ?=
+REGRESSION ?= deploy/regression.txt
+
 # SEEDS are the seeds of the soak, from the first to the last, and TIME how long
 # each is played.
 SEEDS ?= 1-50
 TIME ?= 20s
 
-.PHONY: all build run test check red lint fmt generate bench slopes clean platform calm score hunt soak
+.PHONY: all build run test check red lint fmt generate bench slopes clean platform calm score regression hunt soak
 
 all: build
 
@@ -56,6 +60,11 @@
 score:
 	$(BENCH) score $(SITE) --why "$(WHY)"
 
+regression:
+	grep -v '^#' $(REGRESSION) | while read -r site options; do \
+		$(BENCH) score "$(SITES)/$$site" $$options --why "$(WHY)" </dev/null || exit 1; \
+	done
+
 hunt:
 	$(BENCH) hunt $(SITE) --days $(DAYS) --why "$(WHY)"
 
