Tell other instances which targets are suspected to be slow

Change: an instance suspects a target that took 1.4 times the longest usual time of its service with nothing waiting, or has been silent for that while others responded, and says so in its heartbeats (up to eight, about 15 bytes each, none while there are none). An instance without evidence believes two failure domains, not one, as that may be cut off from targets. Requests go to the targets that rank next; a usual response or 6 s end it. A pause of the process, a cold target and an instance that reaches nothing suspect nobody. Earlier programs ignore the new field.

--- a/heartbeat.go
+++ b/heartbeat.go
@@ -34,6 +34,8 @@
 	Confirmation *Confirmation `cbor:"14,keyasint,omitempty"`
 	// LeavingTargets is a selection if there are too many for one datagram.
 	LeavingTargets []LeavingTarget `cbor:"15,keyasint,omitempty"`
+	// SlowTargets is a selection if there are too many for one datagram.
+	SlowTargets []SlowTarget `cbor:"16,keyasint,omitempty"`
 }
 
 // Position returns the position in the store's history up to which the instance has read.
@@ -56,5 +58,10 @@
 			return err
 		}
 	}
+	for i := range h.SlowTargets {
+		if err := h.SlowTargets[i].Check(); err != nil {
+			return err
+		}
+	}
 	return h.Endpoint.Check()
 }
--- a/internal/entry/edge/edge_confirm.go
+++ b/internal/entry/edge/edge_confirm.go
@@ -70,6 +70,7 @@
 	if e.pausedSince(now) {
 		e.Log.Warn().Dur("for", now.Sub(e.tickedAt)).Msg("the process was paused")
 		e.resumedAt = now
+		e.placer.Resume(now)
 	}
 	e.tickedAt = now
 }
--- a/internal/entry/edge/edge_heartbeat.go
+++ b/internal/entry/edge/edge_heartbeat.go
@@ -80,7 +80,7 @@
 		Endpoint: self, Ready: e.Ready(), Revision: e.mirror.Position().Revision, Epoch: e.mirror.Position().Epoch,
 		ReachesStore: !e.store.lost, WatchesStore: e.watches(now), CutOff: e.reach.CutOff(), RequestRate: float32(e.requestRate),
 		CrashCounts: e.poisonGuard.HeartbeatCounts(now), RolloutStats: e.rolloutStats(now), Outcomes: e.rollouts.Outcomes(now),
-		Confirmation: e.latestConfirmation(now), LeavingTargets: e.placer.LeavingTargets(now),
+		Confirmation: e.latestConfirmation(now), LeavingTargets: e.placer.LeavingTargets(now), SlowTargets: e.placer.SlowTargets(now),
 	}
 }
 
@@ -131,6 +131,9 @@
 	for _, l := range h.LeavingTargets {
 		e.markLeaving(now, l, "", h.Endpoint.Name)
 	}
+	for _, s := range h.SlowTargets {
+		e.placer.MarkSlow(now, s, h.Endpoint.Domain)
+	}
 	e.handleDemand(h)
 	e.poisonGuard.Merge(now, h.CrashCounts)
 	adopted := e.rollouts.Record(h.RolloutStats, h.Outcomes)
--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -188,15 +188,16 @@
 	cancelled := r.Response == nil && (ctx.Err() != nil || !now.Before(j.deadline))
 	ran := r.Verdict != lacewingramp.NotRun && !cancelled
 	failed := ran && (r.Response == nil || r.Response.Status >= http.StatusInternalServerError)
-	limit := e.placer.Limit(target.Name)
+	limit, wasSlow := e.placer.Limit(target.Name), e.placer.Slow(now, target.Name)
 	e.placer.Done(now, placement.Report{
-		Target: target.Name, StartMillis: a.choice.StartMillis, SentAt: a.sentAt, Ran: r.Verdict == lacewingramp.Ran, Unreachable: r.Unreachable || a.gone, Failed: failed,
+		Target: target.Name, StartMillis: a.choice.StartMillis, ChosenAt: a.choice.ChosenAt, SentAt: a.sentAt, Took: now.Sub(a.choice.ChosenAt), Ran: r.Verdict == lacewingramp.Ran, Unreachable: r.Unreachable || a.gone, Failed: failed,
 		Shed: r.ResponseHeaders.NotRun, AddressTaken: r.ResponseHeaders.WrongTarget, TargetLoad: r.ResponseHeaders.TargetLoad, WarmupRemaining: r.ResponseHeaders.WarmupRemaining,
 		RateLimit: r.ResponseHeaders.RateLimit, InvalidRateLimit: r.ResponseHeaders.InvalidRateLimit,
 		RetryAfter: r.ResponseHeaders.RetryAfter,
 	})
 	e.logPause(now, j, target, r.ResponseHeaders)
 	e.logLimit(j.headers.ID, target.Name, limit)
+	e.logSlow(now, j.headers.ID, target, wasSlow)
 	e.recordLeaving(now, j, a.choice, r.ResponseHeaders)
 	if r.Verdict != lacewingramp.NotRun {
 		e.rollouts.Observe(lacewingramp.AttemptResult{
--- a/internal/proof/emulator/emulator_test.go
+++ b/internal/proof/emulator/emulator_test.go
@@ -80,4 +80,12 @@
 		gomega.Expect(reserved.Refused + reserved.Failed).To(gomega.BeNumerically("<", 2*(shared.Refused+shared.Failed)/3))
 		gomega.Expect(benefit(reserved)).To(gomega.BeNumerically(">", benefit(shared)))
 	})
+
+	// Pattern: two of five targets turn slow for a while, and each instance sees few responses of
+	// each of them.
+	ginkgo.It("is answered if targets turn slow, as instances tell each other", func() {
+		told, alone := simulate("large-slow", "lacewingramp"), simulate("large-slow", "lacewingramp, nothing reported")
+		gomega.Expect(told.Refused + told.Failed).To(gomega.BeNumerically("<", alone.Refused+alone.Failed))
+		gomega.Expect(benefit(told)).To(gomega.BeNumerically(">", benefit(alone)))
+	})
 })
--- a/internal/proof/emulator/policy.go
+++ b/internal/proof/emulator/policy.go
@@ -75,6 +75,7 @@
 	return []Policy{
 		&PlacementPolicy{},
 		&PlacementPolicy{NoneReserved: true},
+		&PlacementPolicy{NothingReported: true},
 		&rankedPolicy{name: "random", rank: randomOrder},
 		&rankedPolicy{name: "least in flight", rank: leastInFlightFirst},
 		&rankedPolicy{name: "nearest, least in flight", rank: sameRegionFirst},
@@ -88,23 +89,33 @@
 type PlacementPolicy struct {
 	// NoneReserved is set if no slots are reserved for requests that are bound to a region.
 	NoneReserved bool
+	// NothingReported is set if instances do not tell each other of slow targets.
+	NothingReported bool
 
 	placers []*placement.Placer
+	// heartbeatAt is when the instances have last told each other of slow targets, and
+	// heartbeats how often.
+	heartbeatAt time.Time
+	heartbeats  int
 }
 
 const service = "s"
 
 // Name returns the policy's name.
 func (p *PlacementPolicy) Name() string {
-	if p.NoneReserved {
+	switch {
+	case p.NoneReserved:
 		return "lacewingramp, none reserved"
+	case p.NothingReported:
+		return "lacewingramp, nothing reported"
+	default:
+		return "lacewingramp"
 	}
-	return "lacewingramp"
 }
 
 // Init creates a Placer for each instance.
 func (p *PlacementPolicy) Init(top Topology, _ *rand.Rand) {
-	p.placers = nil
+	p.placers, p.heartbeatAt = nil, time.Time{}
 	regions := make(map[string]string)
 	for i := range top.Regions {
 		regions[domainName(i)] = regionName(i)
@@ -124,6 +135,39 @@
 	}
 }
 
+const (
+	heartbeatPeriod = 250 * time.Millisecond
+	// heartbeatRound is the number of heartbeats in which each instance has sent one to every
+	// other.
+	heartbeatRound = 8
+	// domainCount is the number of failure domains in which the instances run.
+	domainCount = 9
+)
+
+// exchangeHeartbeats lets each instance tell some of the others which targets it suspects to be
+// slow, once in each heartbeatPeriod.
+func (p *PlacementPolicy) exchangeHeartbeats(now time.Time) {
+	if p.NothingReported || now.Sub(p.heartbeatAt) < heartbeatPeriod {
+		return
+	}
+	p.heartbeatAt = now
+	p.heartbeats++
+	for i, sender := range p.placers {
+		slow := sender.SlowTargets(now)
+		for j, receiver := range p.placers {
+			if i == j || (i+j)%heartbeatRound != p.heartbeats%heartbeatRound {
+				continue
+			}
+			for _, s := range slow {
+				receiver.MarkSlow(now, s, senderDomain(i))
+			}
+		}
+	}
+}
+
+// senderDomain returns the failure domain of an instance. There are several in a region.
+func senderDomain(instance int) string { return fmt.Sprint(instance % domainCount) }
+
 // customers returns the customers of a table of which the given fractions of all requests are
 // bound to regions.
 func customers(boundFractions []float64) []lacewingramp.Customer {
@@ -141,6 +185,7 @@
 
 // Choose returns the choice of the instance's Placer.
 func (p *PlacementPolicy) Choose(now time.Time, instance int, r Request) string {
+	p.exchangeHeartbeats(now)
 	q := placement.Query{Service: service, Object: r.Object, Tried: r.Tried}
 	if r.BoundTo >= 0 {
 		q.CustomerRegions = lacewingramp.NameList{regionName(r.BoundTo)}
@@ -155,11 +200,11 @@
 // Done reports a response to the instance's Placer.
 func (p *PlacementPolicy) Done(now time.Time, instance int, r Response) {
 	if r.Cancelled {
-		p.placers[instance].Done(now, placement.Report{Target: r.Target})
+		p.placers[instance].Done(now, placement.Report{Target: r.Target, Took: r.Took, ChosenAt: now.Add(-r.Took)})
 		return
 	}
 	p.placers[instance].Done(now, placement.Report{
-		Target: r.Target, Ran: r.Processed, Shed: !r.Processed, Unreachable: r.Removed && !r.Processed,
+		Target: r.Target, ChosenAt: now.Add(-r.Took), Took: r.Took, Ran: r.Processed, Shed: !r.Processed, Unreachable: r.Removed && !r.Processed,
 		TargetLoad: &lacewingramp.TargetLoad{Running: r.Running, Waiting: r.Waiting},
 	})
 }
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -77,6 +77,7 @@
 // rate, call RecordToken with the reply, and then call Choose again.
 type Choice struct {
 	Target          *lacewingramp.Target
+	ChosenAt        time.Time
 	Full            bool
 	RankingPosition int
 	StartMillis     int64
@@ -94,10 +95,12 @@
 	Target string
 	// StartMillis is that of the Choice.
 	StartMillis int64
-	// SentAt is when the request was sent, and Ran says that the target ran it and
-	// responded.
-	SentAt time.Time
-	Ran    bool
+	// ChosenAt is that of the Choice. SentAt is when the request was sent, Took the time from
+	// then to its end, and Ran says that the target ran it and responded.
+	ChosenAt time.Time
+	SentAt   time.Time
+	Took     time.Duration
+	Ran      bool
 	// Unreachable says that the target could not be connected to, Failed that
 	// it sent no response or a server error.
 	Unreachable bool
@@ -130,16 +133,22 @@
 	settings  map[string]lacewingramp.Service
 	evacuated map[string]bool
 	// boundFractions maps regions to the fraction of all requests that are bound to them,
-	// and reservations maps services to what is reserved for these.
+	// and reservations maps services to what is reserved for these. longest holds the
+	// longest usual durations of services' requests.
 	boundFractions map[string]float64
-	reservations   map[string]*reservation
+	longest        map[string]*longestUsual
+	// resumedAt is when the latest pause of the process ended.
+	resumedAt    time.Time
+	reservations map[string]*reservation
 	// moves maps each object that was moved away from its highest-ranked target to
 	// the name of the target that it was moved to, the second-ranked one at the time.
 	moves map[objectKey]string
 	// departures holds the targets that have said that they are leaving, by name.
-	// departureRotation selects those of the next heartbeat.
+	// departureRotation selects those of the next heartbeat, and
+	// suspicionRotation the targets that are suspected to be slow.
 	departures        map[string]departure
 	departureRotation rotation.Rotation
+	suspicionRotation rotation.Rotation
 	// pauses holds the pauses of targets, by name.
 	pauses       map[string]pause
 	instances    []lacewingramp.Endpoint
@@ -300,7 +309,7 @@
 	all = p.candidates(now, all)
 	p.applyMoves(now, &q, all)
 	if c, ok := p.firstFitting(now, &q, all, func(i int, t *target) bool {
-		return t.inflight < t.inflightLimit() && t.utilization(now) < maxUtilizationByRank[min(i, len(maxUtilizationByRank)-1)] && !t.failing(now)
+		return t.inflight < t.inflightLimit() && t.utilization(now) < maxUtilizationByRank[min(i, len(maxUtilizationByRank)-1)] && !t.failing(now) && !p.slow(now, t)
 	}); ok {
 		return c
 	}
@@ -330,7 +339,8 @@
 		choice.WarmingUp = t.cold(now)
 		switch p.admit(now, t.target, choice.WarmingUp, !q.NoTokenRequests) {
 		case admitted:
-			t.inflight++
+			t.begin(now)
+			choice.ChosenAt = now
 			choice.Load = t.utilization(now)
 			return choice.of(t.target), true
 		case tokenNeeded:
@@ -352,7 +362,7 @@
 // Cancel releases a Choice that was not used.
 func (p *Placer) Cancel(name string) {
 	if t, ok := p.targets[name]; ok {
-		t.inflight = max(0, t.inflight-1)
+		t.end(time.Time{})
 	}
 }
 
@@ -362,7 +372,8 @@
 	if !ok {
 		return
 	}
-	t.inflight = max(0, t.inflight-1)
+	t.end(r.ChosenAt)
+	p.recordDuration(now, t, r)
 	t.addressTaken = t.addressTaken || r.AddressTaken
 	if r.TargetLoad != nil {
 		t.load, t.loadAt, t.inflightAtLoad = *r.TargetLoad, now, t.inflight
--- a/internal/steer/placement/placement_order.go
+++ b/internal/steer/placement/placement_order.go
@@ -110,7 +110,7 @@
 func (p *Placer) candidates(now time.Time, all []ranked) []ranked {
 	warm := 0
 	for i, t := range all {
-		if t.cold(now) || t.limit > 0 || (t.probeFailed && p.mayBeCold(now, t.target)) {
+		if t.cold(now) || p.slow(now, t.target) || t.limit > 0 || (t.probeFailed && p.mayBeCold(now, t.target)) {
 			continue
 		}
 		if warm++; warm == targetsPerObject {
--- a/internal/steer/placement/placement_target.go
+++ b/internal/steer/placement/placement_target.go
@@ -38,6 +38,9 @@
 	region   string
 	hash     uint64
 	inflight int
+	// beganAt holds when the requests in flight began.
+	beganAt   []time.Time
+	suspicion suspicion
 
 	load           lacewingramp.TargetLoad
 	loadAt         time.Time
