Spread requests without an object over the targets

Cause: without an object targets were sorted by utilization, and equal ones stayed in the order of the list, which is the same at all instances. A deployment whose routes have no affinity would send everything to two targets until they are full.

Change: targets with a free slot are ranked by rendezvous hashing for each request anew, so that the instance's own region and larger targets come first and all instances spread; those without one follow by utilization.

Test: placement, "spreads requests without an object" (before: 600 requests of 300 instances at 2 of 40 targets).

--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -140,6 +140,8 @@
 	// resumedAt is when the latest pause of the process ended.
 	resumedAt    time.Time
 	reservations map[string]*reservation
+	// unnamed counts the requests without an object.
+	unnamed uint64
 	// moves maps each object that was moved away from its highest-ranked target to
 	// the name of the target that it was moved to, the second-ranked one at the time.
 	moves map[objectKey]string
--- a/internal/steer/placement/placement_order.go
+++ b/internal/steer/placement/placement_order.go
@@ -56,10 +56,12 @@
 	score float64
 }
 
-// order ranks the usable targets by rendezvous hashing, weighted by slots. Without
-// an object it ranks them by utilization, the lowest first.
+// order ranks the usable targets by rendezvous hashing, weighted by slots. Without an object it
+// ranks those with a free slot in an order that differs for each request, so that the instances
+// of a large deployment do not all choose the same one, and behind them the others by
+// utilization.
 func (p *Placer) order(now time.Time, q *Query) []ranked {
-	key := xxhash.Sum64String(q.Object)
+	key := p.rankingKey(q.Object)
 	weights := p.regionWeights(now, q.Service)
 	var all []ranked
 	for _, t := range p.services[q.Service] {
@@ -74,19 +76,28 @@
 			all = append(all, ranked{target: t, score: weighted})
 		}
 	}
-	if q.Object == "" {
-		sort.SliceStable(all, func(i, j int) bool { return all[i].utilization(now) < all[j].utilization(now) })
-		return all
-	}
 	sort.Slice(all, func(i, j int) bool {
 		if all[i].score == all[j].score {
 			return all[i].Name < all[j].Name
 		}
 		return all[i].score > all[j].score
 	})
+	if q.Object == "" {
+		sort.SliceStable(all, func(i, j int) bool { return all[i].excess(now) < all[j].excess(now) })
+	}
 	return all
 }
 
+// rankingKey returns the key by which targets are ranked for an object, one of its own for each
+// request without an object.
+func (p *Placer) rankingKey(object string) uint64 {
+	if object != "" {
+		return xxhash.Sum64String(object)
+	}
+	p.unnamed++
+	return mix(xxhash.Sum64String(p.Self) + p.unnamed)
+}
+
 func score(key uint64, t *target) float64 {
 	const unit = 1 << 53
 	h := mix(key ^ t.hash)
--- a/internal/steer/placement/placement_target.go
+++ b/internal/steer/placement/placement_target.go
@@ -99,6 +99,13 @@
 	return t.estimatedRequests(now) / float64(max(1, t.Slots))
 }
 
+// excess returns by how many requests per slot a target would be over its slots with one more
+// request, 0 if it has a free slot.
+func (t *target) excess(now time.Time) float64 {
+	slots := float64(max(1, t.Slots))
+	return max(0, (t.estimatedRequests(now)+1)/slots-1)
+}
+
 func (t *target) failing(now time.Time) bool {
 	return t.failureRatio*math.Exp(-now.Sub(t.failureRatioAt).Seconds()/failureTimeConstant.Seconds()) > maxFailureRatio
 }
--- a/internal/steer/placement/placement_test.go
+++ b/internal/steer/placement/placement_test.go
@@ -100,6 +100,37 @@
 		gomega.Expect(home).To(gomega.BeNumerically("~", 750, 60))
 	})
 
+	// Pattern: a route without affinity in a deployment with hundreds of instances, most of which
+	// have no other request in flight.
+	ginkgo.It("spreads requests without an object over the targets, over all instances", func() {
+		requests := make(map[string]int)
+		near := 0
+		for i := range 300 {
+			p := newPlacer(fmt.Sprint("instance", i), 40, 3)
+			for range 2 {
+				c := p.Choose(start, query(""))
+				gomega.Expect(c.Target).NotTo(gomega.BeNil())
+				requests[c.Target.Name]++
+				if c.Target.Domain == "a" {
+					near++
+				}
+			}
+		}
+		gomega.Expect(requests).To(gomega.HaveLen(40))
+		for name, n := range requests {
+			gomega.Expect(n).To(gomega.BeNumerically("<=", 60), name)
+		}
+		gomega.Expect(near).To(gomega.BeNumerically(">", 400))
+	})
+
+	ginkgo.It("sends requests without an object to targets with a free slot first", func() {
+		p := newPlacer("x", 4, 3)
+		for range 12 {
+			gomega.Expect(p.Choose(start, query("")).Load).To(gomega.BeNumerically("<=", 1))
+		}
+		gomega.Expect(p.Choose(start, query("")).Full).To(gomega.BeTrue())
+	})
+
 	ginkgo.It("uses two targets for a burst of requests for one object and refuses the rest", func() {
 		p := newPlacer("one", 12, 8)
 		seen := make(map[string]bool)
