Count timeouts of requests that had half of the usual time

Cause: a timeout counted only if its request had had the average duration. That includes waits, so at a crowded target it comes near the time limit, and the timeouts of repeats, which have less time left, were ignored.

Change: half of the average duration is enough.

--- a/internal/steer/placement/placement_concurrency.go
+++ b/internal/steer/placement/placement_concurrency.go
@@ -18,6 +18,9 @@
 	// minConcurrency is the minimum limit. One below 1 is the fraction of the time in which one
 	// request may be in flight.
 	minConcurrency = 0.25
+	// minTimeFraction is the fraction of the average duration, which includes waits for slots,
+	// that a request must have had for its timeout to count.
+	minTimeFraction = 0.5
 	// durationWeight is the weight of the latest response in the average duration.
 	durationWeight = 0.2
 )
@@ -56,13 +59,13 @@
 }
 
 // adjustConcurrency adjusts the limit to the outcome of a request. Requests that were sent before
-// the latest decrease, or before the process was paused, or that had less time than others take,
+// the latest decrease, or before the process was paused, or that had much less time than others take,
 // do not decrease it.
 func (p *Placer) adjustConcurrency(now time.Time, t *target, r Report) {
 	l := &t.concurrencyLimit
 	switch {
 	case r.TimedOut:
-		if r.ChosenAt.Before(l.decreasedAt) || r.ChosenAt.Before(p.resumedAt) || r.Took < l.duration {
+		if r.ChosenAt.Before(l.decreasedAt) || r.ChosenAt.Before(p.resumedAt) || r.Took < fractionOf(l.duration, minTimeFraction) {
 			return
 		}
 		l.value, l.decreasedAt = max(minConcurrency, t.concurrency()*limitDecrease), now
