--- a/internal/peer/heartbeat/size_test.go
+++ b/internal/peer/heartbeat/size_test.go
@@ -1,6 +1,8 @@
 package heartbeat_test
 
 import (
+	"fmt"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
@@ -8,6 +10,32 @@
 	"lacewingramp.example/lacewingramp"
 )
 
+// earlierHeartbeat is what earlier programs know of a heartbeat.
+type earlierHeartbeat struct {
+	Heartbeat *struct {
+		Endpoint lacewingramp.Endpoint `cbor:"1,keyasint"`
+		Revision int64                 `cbor:"3,keyasint"`
+	} `cbor:"1,keyasint"`
+}
+
+// Guards against heartbeats that earlier programs refuse, or that grow too large for a datagram.
+var _ = ginkgo.It("a heartbeat with slow targets is understood by earlier programs and grows by at most 24 bytes for each", func() {
+	const maxTargets, maxTargetBytes = 8, 24
+	h := newHeartbeat("edge-kochi-c-9", 1_800_000_000_000, 5_000)
+	before, err := cbor.Marshal(lacewingramp.Datagram{Heartbeat: h})
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	for i := range maxTargets {
+		h.SlowTargets = append(h.SlowTargets, lacewingramp.SlowTarget{Target: fmt.Sprintf("i-%010x", i), RemainingMillis: 5_999})
+	}
+	after, err := cbor.Marshal(lacewingramp.Datagram{Heartbeat: h})
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(len(after) - len(before)).To(gomega.BeNumerically("<=", maxTargets*maxTargetBytes))
+	var earlier earlierHeartbeat
+	gomega.Expect(cbor.Unmarshal(after, &earlier)).To(gomega.Succeed())
+	gomega.Expect(earlier.Heartbeat.Endpoint).To(gomega.Equal(h.Endpoint))
+	gomega.Expect(earlier.Heartbeat.Revision).To(gomega.Equal(h.Revision))
+})
+
 // Guards against heartbeats that take a noticeable part of the links between regions: a
 // fleet of 82 sends some 1,300 a second there.
 var _ = ginkgo.It("a heartbeat grows by at most 32 bytes with a confirmation", func() {
