Do not take timeouts after a pause of the process for evidence

The placer learned of a pause with the first tick after it, up to 0.25 s late. Requests whose deadline had passed in the pause were handled before: they lowered the limits of all their targets and could make them look slow, to others too.

Besides: the counting of requests in flight stands with the target; comments of the emulator.

--- a/internal/entry/edge/edge_confirm.go
+++ b/internal/entry/edge/edge_confirm.go
@@ -75,6 +75,14 @@
 	e.tickedAt = now
 }
 
+// noticePause tells the placer of a pause of the process, as requests may end or choose a target
+// before the first tick after it. The caller must hold e.mu.
+func (e *Edge) noticePause(now time.Time) {
+	if e.pausedSince(now) {
+		e.placer.Resume(now)
+	}
+}
+
 // pausedSince reports whether the process has been paused since its last tick.
 func (e *Edge) pausedSince(now time.Time) bool {
 	return now.Sub(e.tickedAt) > maxTickGap
--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -90,6 +90,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.Timer.Now()
+	e.noticePause(now)
 	if j.deadline.Sub(now) < minTimeLeft || j.attempts >= j.route.AttemptLimit || j.failedConnects >= maxFailedConnects {
 		return placement.Choice{}, false
 	}
@@ -185,12 +186,14 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.Timer.Now()
+	e.noticePause(now)
 	cancelled := r.Response == nil && (ctx.Err() != nil || !now.Before(j.deadline))
 	ran := r.Verdict != lacewingramp.NotRun && !cancelled
 	failed := ran && (r.Response == nil || r.Response.Status >= http.StatusInternalServerError)
 	limit, wasSlow := e.placer.Limit(target.Name), e.placer.Slow(now, target.Name)
 	e.placer.Done(now, placement.Report{
-		Target: target.Name, StartMillis: a.choice.StartMillis, ChosenAt: a.choice.ChosenAt, SentAt: a.sentAt, Took: now.Sub(a.choice.ChosenAt), TimedOut: timedOut(r, now, j.deadline), Ran: r.Verdict == lacewingramp.Ran, Unreachable: r.Unreachable || a.gone, Failed: failed,
+		Target: target.Name, StartMillis: a.choice.StartMillis, ChosenAt: a.choice.ChosenAt, SentAt: a.sentAt, Took: now.Sub(a.choice.ChosenAt),
+		TimedOut: timedOut(r, now, j.deadline), Ran: r.Verdict == lacewingramp.Ran, Unreachable: r.Unreachable || a.gone, Failed: failed,
 		Shed: r.ResponseHeaders.NotRun, AddressTaken: r.ResponseHeaders.WrongTarget, TargetLoad: r.ResponseHeaders.TargetLoad, WarmupRemaining: r.ResponseHeaders.WarmupRemaining,
 		RateLimit: r.ResponseHeaders.RateLimit, InvalidRateLimit: r.ResponseHeaders.InvalidRateLimit,
 		RetryAfter: r.ResponseHeaders.RetryAfter,
--- a/internal/proof/emulator/emulator.go
+++ b/internal/proof/emulator/emulator.go
@@ -155,10 +155,11 @@
 // unbound is the boundTo of a request that targets of all regions may serve.
 const unbound = -1
 
-// request is a request of a caller. boundTo is the only region whose targets may serve it. sentAt is when the caller sent it first. tried
-// holds the targets that it was sent to since the caller sent it last. retried is set
-// if the caller sends it for the second time, after a refusal. ended is set once it has
-// been answered or cancelled, and running while a target processes it.
+// request is a request of a caller. boundTo is the only region whose targets may serve it.
+// sentAt is when the caller sent it first. tried holds the targets that it was sent to since the
+// caller sent it last, and chosenAt is when the last of them was chosen. retried is set if the
+// caller sends it for the second time, after a refusal. ended is set once it has been answered or
+// cancelled, and running while a target processes it.
 type request struct {
 	object   string
 	region   int
--- a/internal/proof/emulator/policy.go
+++ b/internal/proof/emulator/policy.go
@@ -38,10 +38,10 @@
 	Tried   []string
 }
 
-// Response is what an instance learns from a target's response, Took after it sent the
-// request. Running and Waiting are the numbers of requests that the target processed and had
-// queued when it responded. Removed is set if the target has stopped permanently. If
-// Cancelled is set, the instance has cancelled the request and there was no response.
+// Response is what an instance learns from a target's response, Took after it sent the request.
+// Running and Waiting are the numbers of requests that the target processed and had queued when
+// it responded. Removed is set if the target has stopped permanently. If Cancelled is set, the
+// instance has cancelled the request and there was no response.
 type Response struct {
 	Target    string
 	Took      time.Duration
--- a/internal/steer/placement/placement_slow.go
+++ b/internal/steer/placement/placement_slow.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"slices"
 	"sort"
 	"time"
 
@@ -151,22 +150,3 @@
 		t.suspicion.reports[domain] = until
 	}
 }
-
-// begin counts a request as in flight.
-func (t *target) begin(now time.Time) {
-	t.inflight++
-	t.beganAt = append(t.beganAt, now)
-	t.lastBeganAt = now
-}
-
-// end ends a request that began at a time, the latest one if that is not known.
-func (t *target) end(beganAt time.Time) {
-	t.inflight = max(0, t.inflight-1)
-	i := slices.Index(t.beganAt, beganAt)
-	if i < 0 {
-		i = len(t.beganAt) - 1
-	}
-	if i >= 0 {
-		t.beganAt = slices.Delete(t.beganAt, i, i+1)
-	}
-}
--- a/internal/steer/placement/placement_target.go
+++ b/internal/steer/placement/placement_target.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"lacewingramp.example/lacewingramp"
@@ -74,6 +75,25 @@
 	return now.Before(t.coldUntil) || now.Before(t.assumedColdUntil)
 }
 
+// begin counts a request as in flight.
+func (t *target) begin(now time.Time) {
+	t.inflight++
+	t.beganAt = append(t.beganAt, now)
+	t.lastBeganAt = now
+}
+
+// end ends a request that began at a time, the latest one if that is not known.
+func (t *target) end(beganAt time.Time) {
+	t.inflight = max(0, t.inflight-1)
+	i := slices.Index(t.beganAt, beganAt)
+	if i < 0 {
+		i = len(t.beganAt) - 1
+	}
+	if i >= 0 {
+		t.beganAt = slices.Delete(t.beganAt, i, i+1)
+	}
+}
+
 // estimatedRequests estimates the number of requests at a target from all
 // instances.
 func (t *target) estimatedRequests(now time.Time) float64 {
