--- a/internal/steer/placement/placement_cold.go
+++ b/internal/steer/placement/placement_cold.go
@@ -50,8 +50,8 @@
 		if !t.unreachableAt.Before(since) {
 			t.suspension, t.suspendedUntil, t.assumedColdUntil = 0, time.Time{}, time.Time{}
 		}
-		if !t.decreasedAt.Before(since) {
-			t.concurrencyLimit = concurrencyLimit{duration: t.duration}
+		if !t.throttle.decreasedAt.Before(since) {
+			t.throttle = concurrencyLimit{duration: t.throttle.duration}
 		}
 	}
 }
--- a/internal/steer/placement/placement_concurrency.go
+++ b/internal/steer/placement/placement_concurrency.go
@@ -43,10 +43,10 @@
 
 // concurrency returns the current limit.
 func (t *target) concurrency() float64 {
-	if t.concurrencyLimit.value == 0 {
+	if t.throttle.value == 0 {
 		return t.maxInflight()
 	}
-	return t.concurrencyLimit.value
+	return t.throttle.value
 }
 
 // allowsAnother reports whether the limit allows one more request in flight.
@@ -55,14 +55,14 @@
 	if l >= 1 {
 		return float64(t.inflight+1) <= l
 	}
-	return t.inflight == 0 && now.Sub(t.concurrencyLimit.lastBeganAt) >= fractionOf(t.concurrencyLimit.duration, 1/l)
+	return t.inflight == 0 && now.Sub(t.throttle.lastBeganAt) >= fractionOf(t.throttle.duration, 1/l)
 }
 
 // adjustConcurrency adjusts the limit to the outcome of a request. Requests that were sent before
 // the latest decrease, or before the process was paused, or that had much less time than others take,
 // do not decrease it.
 func (p *Placer) adjustConcurrency(now time.Time, t *target, r Report) {
-	l := &t.concurrencyLimit
+	l := &t.throttle
 	switch {
 	case r.TimedOut:
 		if r.ChosenAt.Before(l.decreasedAt) || r.ChosenAt.Before(p.resumedAt) || r.Took < fractionOf(l.duration, minTimeFraction) {
--- a/internal/steer/placement/placement_target.go
+++ b/internal/steer/placement/placement_target.go
@@ -39,7 +39,7 @@
 	// beganAt holds when the requests in flight began.
 	beganAt   []time.Time
 	suspicion suspicion
-	concurrencyLimit
+	throttle  concurrencyLimit
 
 	load           lacewingramp.TargetLoad
 	loadAt         time.Time
@@ -79,7 +79,7 @@
 func (t *target) begin(now time.Time) {
 	t.inflight++
 	t.beganAt = append(t.beganAt, now)
-	t.lastBeganAt = now
+	t.throttle.lastBeganAt = now
 }
 
 // end ends a request that began at a time, the latest one if that is not known.
