Suspect a target as slow only once a request has timed out there

There a part of the targets is 3.6 times as slow; they still answer, and their objects are unknown to the targets that requests went to instead.

--- a/internal/steer/placement/placement_slow.go
+++ b/internal/steer/placement/placement_slow.go
@@ -8,8 +8,9 @@
 	"lacewingramp.example/lacewingramp/internal/peer/rotation"
 )
 
-// A target is suspected to be slow if it takes much longer over a request than targets of its
-// service usually do. In a large deployment an instance sees few responses of each target, so
+// A target is suspected to be slow if a request timed out there after much longer than targets of
+// its service usually take. One that still responds is not avoided, as its objects are unknown to
+// others. In a large deployment an instance sees few responses of each target, so
 // instances tell each other of those that they suspect. Instances of one failure domain may all
 // be cut off from a target that others reach, so the word of two domains is needed.
 
@@ -53,7 +54,9 @@
 		return
 	}
 	if !r.Ran {
-		p.suspectSilent(now, t, now.Add(-r.Took))
+		if r.TimedOut {
+			p.suspectSilent(now, t, now.Add(-r.Took))
+		}
 		return
 	}
 	l := p.longestOf(t.Service)
@@ -62,13 +65,7 @@
 		return
 	}
 	l.record(r.Took)
-	if r.TargetLoad == nil || r.TargetLoad.Waiting > 0 {
-		return
-	}
 	t.suspicion = suspicion{}
-	if limit, ok := p.longest[t.Service].times(slowRatio); ok && r.Took > limit {
-		t.suspicion.until = now.Add(suspicionDuration)
-	}
 }
 
 func (p *Placer) longestOf(service string) *longestUsual {
@@ -102,9 +99,6 @@
 
 // slow reports whether a target is suspected to be slow.
 func (p *Placer) slow(now time.Time, t *target) bool {
-	if len(t.beganAt) > 0 && !t.cold(now) {
-		p.suspectSilent(now, t, t.beganAt[0])
-	}
 	return now.Before(t.suspicion.until) || t.suspicion.reportedBy(now) >= minReportingDomains
 }
 
