Drop the start times of requests in flight, which nothing reads any more

Silence before a timeout was evidence for a slow target at first, and each target kept a list of when its requests in flight began; since only timeouts count, the list was filled and searched for every request and read by nobody. SlowTargets also asked for a suspicion twice.

Change: a count and the time of the latest one remain, as the concurrency limit needs them.

--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -366,7 +366,7 @@
 // Cancel releases a Choice that was not used.
 func (p *Placer) Cancel(name string) {
 	if t, ok := p.targets[name]; ok {
-		t.end(time.Time{})
+		t.end()
 	}
 }
 
@@ -376,7 +376,7 @@
 	if !ok {
 		return
 	}
-	t.end(r.ChosenAt)
+	t.end()
 	p.recordDuration(now, t, r)
 	p.adjustConcurrency(now, t, r)
 	t.addressTaken = t.addressTaken || r.AddressTaken
--- a/internal/steer/placement/placement_slow.go
+++ b/internal/steer/placement/placement_slow.go
@@ -113,7 +113,7 @@
 func (p *Placer) SlowTargets(now time.Time) []lacewingramp.SlowTarget {
 	var names []string
 	for name, t := range p.targets {
-		if p.slow(now, t) && now.Before(t.suspicion.until) {
+		if now.Before(t.suspicion.until) {
 			names = append(names, name)
 		}
 	}
--- a/internal/steer/placement/placement_target.go
+++ b/internal/steer/placement/placement_target.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"lacewingramp.example/lacewingramp"
@@ -33,11 +32,9 @@
 // load includes. addressTaken says that another target responds at the address.
 type target struct {
 	lacewingramp.TargetRegistration
-	region   string
-	hash     uint64
-	inflight int
-	// beganAt holds when the requests in flight began.
-	beganAt   []time.Time
+	region    string
+	hash      uint64
+	inflight  int
 	suspicion suspicion
 	throttle  concurrencyLimit
 
@@ -78,20 +75,12 @@
 // begin counts a request as in flight.
 func (t *target) begin(now time.Time) {
 	t.inflight++
-	t.beganAt = append(t.beganAt, now)
 	t.throttle.lastBeganAt = now
 }
 
-// end ends a request that began at a time, the latest one if that is not known.
-func (t *target) end(beganAt time.Time) {
+// end ends a request that was in flight.
+func (t *target) end() {
 	t.inflight = max(0, t.inflight-1)
-	i := slices.Index(t.beganAt, beganAt)
-	if i < 0 {
-		i = len(t.beganAt) - 1
-	}
-	if i >= 0 {
-		t.beganAt = slices.Delete(t.beganAt, i, i+1)
-	}
 }
 
 // estimatedRequests estimates the number of requests at a target from all
