--- a/call.go
+++ b/call.go
@@ -58,10 +58,13 @@
 
 // TargetLoad is the load that a target reports: the number of requests that it runs
 // (Running), that it queues (Waiting) and that it can run concurrently (Slots).
+// WorkPercent is how long work takes there at the moment, as a percentage of what is usual,
+// 0 if the target does not report it.
 type TargetLoad struct {
-	Running int
-	Waiting int
-	Slots   int
+	Running     int
+	Waiting     int
+	Slots       int
+	WorkPercent int
 }
 
 // HeaderCodec reads and writes the HTTP headers exchanged between callers, instances
--- a/internal/entry/edge/edge_events.go
+++ b/internal/entry/edge/edge_events.go
@@ -70,6 +70,7 @@
 	}
 	m := routing.New(event.Table)
 	e.placer.Configure(event.Table.Services)
+	e.placer.SetRoutes(event.Table.Routes)
 	e.placer.SetCustomers(event.Table.Customers)
 	e.quota.Configure(now, m.Limits())
 	e.pool.Configure(now, m.Limits())
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -62,6 +62,12 @@
 	CustomerRegions lacewingramp.NameList
 	Tried           []string
 	NoTokenRequests bool
+	// Route is the name of the route, Objective the time in which the caller wants the
+	// response, and Remaining the time to the deadline. They are used for load-aware
+	// services only.
+	Route     string
+	Objective time.Duration
+	Remaining time.Duration
 }
 
 // Choice is the result of Placer.Choose. If Target is nil, Full tells whether there
@@ -86,6 +92,11 @@
 	Load            float64
 	NeedsProbe      bool
 	NeedsToken      bool
+	// Expected is the expected time to the end of the request at the target. If Target is
+	// nil, RoomIn is the expected time until a target could end the request before its
+	// deadline. Both are 0 if not known.
+	Expected time.Duration
+	RoomIn   time.Duration
 }
 
 // Report describes the outcome of a request on a target. TargetLoad is the load that
@@ -159,6 +170,10 @@
 	maxInstances int
 	// instanceVersion counts the changes of instances.
 	instanceVersion int
+	// uploads is set if the table has a route for uploads.
+	uploads bool
+	// workReported holds the services with a target that has reported how long work takes.
+	workReported map[string]bool
 }
 
 // Configure sets the services' settings.
@@ -381,6 +396,7 @@
 	p.adjustConcurrency(now, t, r)
 	t.addressTaken = t.addressTaken || r.AddressTaken
 	if r.TargetLoad != nil {
+		p.recordWorkReport(t, r.TargetLoad)
 		t.load, t.loadAt, t.inflightAtLoad = *r.TargetLoad, now, t.inflight
 		t.recordUtilization(now, float64(r.TargetLoad.Running+r.TargetLoad.Waiting)/float64(max(1, t.Slots)))
 	}
--- a/table.go
+++ b/table.go
@@ -73,6 +73,8 @@
 // highest. Affinity is set if a target responds faster to requests whose affinity key
 // it has handled recently. If Regions is not empty, requests may only run there.
 //
+// Upload is set for a route whose requests have large bodies.
+//
 // A route with AllowAnonymous needs no key. A request to an idempotent route may
 // run more than once. Requests to a deferrable route queue behind those to other
 // routes. MaxUnconfirmed is how long keys are accepted while the instance cannot
@@ -95,6 +97,7 @@
 	PriorityClass    int            `json:"rank,omitempty"`
 	Affinity         bool           `json:"affinity,omitempty"`
 	Regions          NameList       `json:"regions,omitempty"`
+	Upload           bool           `json:"upload,omitempty"`
 }
 
 // Version is one version of a service.
