Bound the mirror's log of changes by bytes

Cause: a mirror kept 4,096 changes for followers, whatever their size. A table of 1 MB that changes three times a second filled the memory of all instances until they were killed. Change: the log keeps at most 8 MiB of keys and values.

--- a/internal/config/mirror/mirror.go
+++ b/internal/config/mirror/mirror.go
@@ -25,8 +25,13 @@
 	"lacewingramp.example/lacewingramp"
 )
 
-// maxLog is the maximum number of changes that are kept for followers.
-const maxLog = 4096
+const (
+	// maxLog is the maximum number of changes that are kept for followers.
+	maxLog = 4096
+	// maxLogBytes is the maximum size of their keys and values together, in bytes. A value
+	// may have 1 MB, and the smallest instances have 184 MB of memory.
+	maxLogBytes = 8 << 20
+)
 
 // logEntry is a change and the position from which a follower no longer needs it.
 // Positions do not decrease along the log.
@@ -47,7 +52,9 @@
 type Mirror struct {
 	keyValues map[string]lacewingramp.KeyValue
 	log       []logEntry
-	position  lacewingramp.Position
+	// logBytes is the size of the keys and values in the log.
+	logBytes int
+	position lacewingramp.Position
 	// logStart is the oldest position from which a follower can catch up by the
 	// log alone.
 	logStart lacewingramp.Position
@@ -180,21 +187,34 @@
 }
 
 // appendLog adds changes to the log, for followers that have not reached position. It
-// drops the oldest changes beyond maxLog.
+// drops the oldest changes beyond maxLog and maxLogBytes.
 func (m *Mirror) appendLog(changes []lacewingramp.Change, position lacewingramp.Position) {
 	if n := len(m.log); n > 0 && position.Before(m.log[n-1].position) {
 		position = m.log[n-1].position
 	}
 	for _, c := range changes {
 		m.log = append(m.log, logEntry{change: c, position: position})
+		m.logBytes += size(&c)
 	}
-	if excess := len(m.log) - maxLog; excess > 0 {
+	excess := max(0, len(m.log)-maxLog)
+	for i := range m.log {
+		if i >= excess && m.logBytes <= maxLogBytes {
+			break
+		}
+		m.logBytes -= size(&m.log[i].change)
+		excess = max(excess, i+1)
+	}
+	if excess > 0 {
 		m.logStart = m.log[excess-1].position
 		m.log = append([]logEntry(nil), m.log[excess:]...)
 		m.jumps = slices.DeleteFunc(m.jumps, func(j jump) bool { return !m.logStart.Before(j.to) })
 	}
 }
 
+func size(c *lacewingramp.Change) int {
+	return len(c.Key) + len(c.Value)
+}
+
 func (m *Mirror) apply(changes []lacewingramp.Change) []lacewingramp.Change {
 	if m.keyValues == nil {
 		m.keyValues = make(map[string]lacewingramp.KeyValue)
