Estimate what each target takes and share load reports over heartbeats

Cause: an instance of a large deployment hears from a target only once in seconds and sends blindly in between, so that targets get more than they can run.

Change: capacity.Target estimates the requests of the whole fleet at a target, its work factor and its concurrency limit. Placer feeds it from requests, responses, probes and sheds.

--- a/heartbeat.go
+++ b/heartbeat.go
@@ -36,6 +36,8 @@
 	LeavingTargets []LeavingTarget `cbor:"15,keyasint,omitempty"`
 	// SlowTargets is a selection if there are too many for one datagram.
 	SlowTargets []SlowTarget `cbor:"16,keyasint,omitempty"`
+	// TargetLoads holds the latest reports of targets of load-aware services on their load.
+	TargetLoads TargetLoads `cbor:"18,keyasint,omitempty"`
 }
 
 // Position returns the position in the store's history up to which the instance has read.
@@ -63,5 +65,8 @@
 			return err
 		}
 	}
+	if err := h.TargetLoads.Check(); err != nil {
+		return err
+	}
 	return h.Endpoint.Check()
 }
--- a/internal/entry/edge/edge_heartbeat.go
+++ b/internal/entry/edge/edge_heartbeat.go
@@ -49,6 +49,7 @@
 	regional.Demand = e.quota.Encode(e.quota.Demand(now))
 	region, instances := e.quota.Sum(now, e.regionPeers(now))
 	interRegion.Demand, interRegion.Sum = e.quota.Encode(region), instances
+	regional.TargetLoads, interRegion.TargetLoads = e.placer.TargetLoads(now)
 	e.mu.Unlock()
 	e.client.Sweep(now)
 	e.relayClient.Sweep(now)
@@ -134,6 +135,7 @@
 	for _, s := range h.SlowTargets {
 		e.placer.MarkSlow(now, s, h.Endpoint.Domain)
 	}
+	e.placer.RecordTargetLoads(now, h.TargetLoads, h.Endpoint.Domain)
 	e.handleDemand(h)
 	e.poisonGuard.Merge(now, h.CrashCounts)
 	adopted := e.rollouts.Record(h.RolloutStats, h.Outcomes)
--- a/internal/steer/capacity/capacity.go
+++ b/internal/steer/capacity/capacity.go
@@ -1,45 +1,147 @@
 // Package capacity estimates how much each target takes well: how long work takes there, how
 // many requests of the whole fleet it has, and how many of them it should have.
 //
+// A Target receives the load that the target reports, to this instance or to a peer, and what
+// this instance sees of its own requests. Bad figures, reports out of order and clocks that
+// step move no estimate out of its bounds.
+//
 // # Usage
 //
 //	var t capacity.Target
 //	t.Report(now, 0, load)
 //	t.Ran(now, work, usual)
 //	wait := t.Requests(now) / float64(slots) * usual * t.WorkFactor(now)
+//
+// A Target is not safe for concurrent use.
 package capacity
 
 import (
+	"math"
 	"time"
 
 	"lacewingramp.example/lacewingramp"
 )
 
+const (
+	// maxReportAge is the age from which a report is ignored.
+	maxReportAge = 3 * time.Second
+	// maxFigure is the highest number of requests or slots that is believed.
+	maxFigure = 4096
+	// driftTime is the time constant with which the requests of other instances are assumed to
+	// return to their average after a report.
+	driftTime = 800 * time.Millisecond
+	// averageTime is the time constant of the slow averages, which span many phases.
+	averageTime = 10 * time.Second
+	// maxAverageStep is the longest time that one value counts for in a slow average.
+	maxAverageStep = 2 * time.Second
+	// errorWeight is the weight of the latest report in the mean error.
+	errorWeight = 0.05
+)
+
 // Target holds what is known of one target. The zero value knows nothing.
-type Target struct{}
+type Target struct {
+	own history
+	// reportedAt is when the target sent the latest report. running and others are the requests
+	// that it ran then and those of other instances that it had.
+	reportedAt  time.Time
+	running     int
+	others      float64
+	usualOthers average
+	meanError   float64
+	work        workFactor
+	limit       limit
+}
 
 // Report records a load that the target has reported an age ago.
-func (t *Target) Report(now time.Time, age time.Duration, load lacewingramp.TargetLoad) {}
+func (t *Target) Report(now time.Time, age time.Duration, load lacewingramp.TargetLoad) {
+	if !valid(load) || age > maxReportAge {
+		return
+	}
+	at := now.Add(-max(0, age))
+	steppedBack := t.reportedAt.After(now)
+	if at.Before(t.reportedAt) && !steppedBack {
+		return
+	}
+	predicted, known := t.Requests(now), !t.reportedAt.IsZero()
+	total := float64(load.Running + load.Waiting)
+	t.others = max(0, total-float64(t.own.at(at)))
+	t.usualOthers.add(at, t.others)
+	t.reportedAt, t.running = at, load.Running
+	if known {
+		t.meanError += errorWeight * (math.Abs(t.Requests(now)-predicted) - t.meanError)
+	}
+	t.work.reported(at, load.WorkPercent)
+	t.limit.reported(load)
+	if load.WorkPercent > 0 && !t.work.hasRun(now) {
+		t.limit.observe(at, load.Running, boundFactor(float64(load.WorkPercent)/percent))
+	}
+	if total < t.limit.value(t.limit.slots) {
+		t.limit.good(now)
+	}
+}
+
+func valid(load lacewingramp.TargetLoad) bool {
+	for _, n := range [...]int{load.Running, load.Waiting, load.Slots} {
+		if n < 0 || n > maxFigure {
+			return false
+		}
+	}
+	return load.WorkPercent >= 0
+}
 
-// Sent records that this instance has sent a request to the target, and Ended that it has ended.
-func (t *Target) Sent(now time.Time) {}
+// Sent records that this instance has sent a request to the target.
+func (t *Target) Sent(now time.Time) {
+	t.own.add(now, 1)
+}
 
 // Ended records the end of a request that this instance has sent.
-func (t *Target) Ended(now time.Time) {}
+func (t *Target) Ended(now time.Time) {
+	t.own.add(now, -1)
+}
 
-// Ran records how long the work of a request took, without the wait before it, and how long it
-// usually takes at a target of the service.
-func (t *Target) Ran(now time.Time, work, usual time.Duration) {}
+// Requests returns the estimated number of requests of all instances at the target, running and
+// waiting.
+func (t *Target) Requests(now time.Time) float64 {
+	own := float64(t.own.inflight)
+	if t.reportedAt.IsZero() {
+		return own
+	}
+	usual := t.usualOthers.value
+	return own + max(0, usual+(t.others-usual)*remaining(now.Sub(t.reportedAt), driftTime))
+}
 
-// Overloaded records that the target has shed a request, or that one has timed out there.
-func (t *Target) Overloaded(now time.Time) {}
+// ReportAge returns how long ago the target sent the latest known report, and false if there is
+// none.
+func (t *Target) ReportAge(now time.Time) (time.Duration, bool) {
+	return max(0, now.Sub(t.reportedAt)), !t.reportedAt.IsZero()
+}
 
-// WorkFactor returns how long work takes, relative to what is usual.
-func (t *Target) WorkFactor(now time.Time) float64 { return 1 }
+// MeanError returns by how many requests the estimate differs from a new report, on the average
+// of the latest ones.
+func (t *Target) MeanError() float64 {
+	return t.meanError
+}
 
-// Requests returns the estimated number of requests of all instances at the target, running and
-// waiting.
-func (t *Target) Requests(now time.Time) float64 { return 0 }
+// average is a moving average in which each value counts for the time since the one before.
+type average struct {
+	value float64
+	at    time.Time
+}
+
+func (a *average) add(at time.Time, v float64) {
+	if a.at.IsZero() {
+		a.value, a.at = v, at
+		return
+	}
+	step := min(max(0, at.Sub(a.at)), maxAverageStep)
+	a.value += (v - a.value) * (1 - remaining(step, averageTime))
+	a.at = at
+}
 
-// Limit returns how many concurrent requests of all instances the target takes well.
-func (t *Target) Limit(now time.Time, slots int) float64 { return float64(slots) }
+// remaining returns the fraction of a deviation that remains after a time.
+func remaining(after, timeConstant time.Duration) float64 {
+	if after <= 0 {
+		return 1
+	}
+	return math.Exp(-float64(after) / float64(timeConstant))
+}
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -174,6 +174,8 @@
 	uploads bool
 	// workReported holds the services with a target that has reported how long work takes.
 	workReported map[string]bool
+	// sharing holds what is exchanged with other instances on the load of targets.
+	sharing sharing
 }
 
 // Configure sets the services' settings.
@@ -231,10 +233,12 @@
 		p.services = make(map[string][]*target)
 	}
 	p.services[t.Service] = append(p.services[t.Service], t)
+	p.sharing.add(t)
 }
 
 func (p *Placer) drop(t *target) {
 	delete(p.targets, t.Name)
+	p.sharing.remove(t)
 	list := p.services[t.Service]
 	remaining := make([]*target, 0, len(list))
 	for _, o := range list {
@@ -381,7 +385,7 @@
 // Cancel releases a Choice that was not used.
 func (p *Placer) Cancel(name string) {
 	if t, ok := p.targets[name]; ok {
-		t.end()
+		t.end(time.Time{})
 	}
 }
 
@@ -391,7 +395,8 @@
 	if !ok {
 		return
 	}
-	t.end()
+	t.end(now)
+	p.recordCapacity(now, t, r)
 	p.recordDuration(now, t, r)
 	p.adjustConcurrency(now, t, r)
 	t.addressTaken = t.addressTaken || r.AddressTaken
--- a/internal/steer/placement/placement_cold.go
+++ b/internal/steer/placement/placement_cold.go
@@ -80,6 +80,7 @@
 	t.coldUntil, t.assumedColdUntil = time.Time{}, time.Time{}
 	t.setCold(now, r.WarmupRemaining)
 	t.recordLimit(now, r)
+	p.recordLoad(now, t, r.TargetLoad)
 	if r.TargetLoad != nil {
 		t.load, t.loadAt, t.inflightAtLoad = *r.TargetLoad, now, t.inflight
 	}
--- a/internal/steer/placement/placement_target.go
+++ b/internal/steer/placement/placement_target.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/steer/capacity"
 )
 
 const (
@@ -37,6 +38,9 @@
 	inflight  int
 	suspicion suspicion
 	throttle  concurrencyLimit
+	capacity  capacity.Target
+	// ownReport is the number of the latest report to this instance, see sharing.
+	ownReport int
 
 	load           lacewingramp.TargetLoad
 	loadAt         time.Time
@@ -76,10 +80,14 @@
 func (t *target) begin(now time.Time) {
 	t.inflight++
 	t.throttle.lastBeganAt = now
+	t.capacity.Sent(now)
 }
 
-// end ends a request that was in flight.
-func (t *target) end() {
+// end ends a request that was in flight. A zero time stands for that of the latest change.
+func (t *target) end(now time.Time) {
+	if t.inflight > 0 {
+		t.capacity.Ended(now)
+	}
 	t.inflight = max(0, t.inflight-1)
 }
 
