Measure the error of the estimated requests, and keep reports for longer

Cause: nothing told how good the estimates are. With a time constant of 800 ms, estimates returned to the average of a target sooner than its queue does.

Change: Target.Variance and MeanError, Placer.EstimateError and a gauge for it. The time constant is 1.5 s. The fleet of the test serves requests in three slots with a queue.

--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -135,6 +135,9 @@
 	// Unconfirmed records how long ago the instance's copy of the store's keys was last
 	// known to be complete.
 	Unconfirmed(age time.Duration)
+	// EstimateError records by how many requests the estimate of the requests at a target
+	// differs from a new report of that target, on the average.
+	EstimateError(requests float64)
 }
 
 // Edge is an instance. expired maps targets whose registration expired during a store
--- a/internal/entry/edge/edge_heartbeat.go
+++ b/internal/entry/edge/edge_heartbeat.go
@@ -50,6 +50,7 @@
 	region, instances := e.quota.Sum(now, e.regionPeers(now))
 	interRegion.Demand, interRegion.Sum = e.quota.Encode(region), instances
 	regional.TargetLoads, interRegion.TargetLoads = e.placer.TargetLoads(now)
+	e.Meter.EstimateError(e.placer.EstimateError(now))
 	e.mu.Unlock()
 	e.client.Sweep(now)
 	e.relayClient.Sweep(now)
--- a/internal/report/meter/meter.go
+++ b/internal/report/meter/meter.go
@@ -25,6 +25,7 @@
 	connections  *metrics.Counter
 	droppedLines *metrics.Counter
 	unconfirmed  *metrics.Gauge
+	loadError    *metrics.Gauge
 }
 
 // New returns a Meter with all metrics at zero.
@@ -36,6 +37,7 @@
 		connections:  s.NewCounter("lacewingramp_target_connections_total"),
 		droppedLines: s.NewCounter("lacewingramp_log_lines_dropped_total"),
 		unconfirmed:  s.NewGauge("lacewingramp_store_unconfirmed_seconds", nil),
+		loadError:    s.NewGauge("lacewingramp_target_estimate_error_requests", nil),
 	}
 }
 
@@ -99,6 +101,12 @@
 	m.unconfirmed.Set(age.Seconds())
 }
 
+// EstimateError records by how many requests the estimate of the requests at a target differs from
+// a new report of that target, on the average.
+func (m *Meter) EstimateError(requests float64) {
+	m.loadError.Set(requests)
+}
+
 // LogLinesDropped counts log lines that were lost because the log buffer was full.
 func (m *Meter) LogLinesDropped(n int) {
 	m.droppedLines.Add(n)
--- a/internal/report/meter/meter_test.go
+++ b/internal/report/meter/meter_test.go
@@ -25,6 +25,7 @@
 		m.TargetPause()
 		m.StoreCheck(true)
 		m.Unconfirmed(time.Second)
+		m.EstimateError(1.4)
 		m.Relayed(lacewingramp.RelayResponded)
 		w := httptest.NewRecorder()
 		m.ServeHTTP(w, nil)
--- a/internal/steer/capacity/capacity.go
+++ b/internal/steer/capacity/capacity.go
@@ -29,7 +29,7 @@
 	maxFigure = 4096
 	// driftTime is the time constant with which the requests of other instances are assumed to
 	// return to their average after a report.
-	driftTime = 800 * time.Millisecond
+	driftTime = 1500 * time.Millisecond
 	// averageTime is the time constant of the slow averages, which span many phases.
 	averageTime = 10 * time.Second
 	// maxAverageStep is the longest time that one value counts for in a slow average.
@@ -47,9 +47,11 @@
 	running     int
 	others      float64
 	usualOthers average
-	meanError   float64
-	work        workFactor
-	limit       limit
+	// spread is the average of the squared distances of others from their average.
+	spread    average
+	meanError float64
+	work      workFactor
+	limit     limit
 }
 
 // Report records a load that the target has reported an age ago.
@@ -66,6 +68,8 @@
 	total := float64(load.Running + load.Waiting)
 	t.others = max(0, total-float64(t.own.at(at)))
 	t.usualOthers.add(at, t.others)
+	distance := t.others - t.usualOthers.value
+	t.spread.add(at, distance*distance)
 	t.reportedAt, t.running = at, load.Running
 	if known {
 		t.meanError += errorWeight * (math.Abs(t.Requests(now)-predicted) - t.meanError)
@@ -110,6 +114,13 @@
 	return own + max(0, usual+(t.others-usual)*remaining(now.Sub(t.reportedAt), driftTime))
 }
 
+// Variance returns the variance of the estimated number of requests: it is 0 at a report and grows
+// to that of the target's slow average as the report ages.
+func (t *Target) Variance(now time.Time) float64 {
+	left := remaining(now.Sub(t.reportedAt), driftTime)
+	return t.spread.value * (1 - left*left)
+}
+
 // ReportAge returns how long ago the target sent the latest known report, and false if there is
 // none.
 func (t *Target) ReportAge(now time.Time) (time.Duration, bool) {
--- a/internal/steer/capacity/capacity_limit.go
+++ b/internal/steer/capacity/capacity_limit.go
@@ -33,8 +33,8 @@
 	maxLevelWeight = 20
 	// sufficientThroughput is the fraction of the highest throughput from which a level
 	// suffices. Slow phases that do not depend on load coincide with many running requests, as these
-	// then take longer; for 3 slots and phases of 2.5 times the work in 15% of the time, work at the
-	// third level seems 1.3 times that at the second. The limit is 3/2 x sufficientThroughput = 1.4.
+	// then take longer: with phases of 2.5 times the work in 15% of the time, work at three
+	// running requests seems up to 1.12 times that at two. From 1.5 x sufficientThroughput on it limits them to two.
 	sufficientThroughput = 0.95
 )
 
--- a/internal/steer/capacity/capacity_test.go
+++ b/internal/steer/capacity/capacity_test.go
@@ -34,6 +34,7 @@
 func expectBounds(t *capacity.Target, now time.Time) {
 	for _, after := range []time.Duration{0, 100 * ms, time.Hour, -time.Hour} {
 		gomega.Expect(t.WorkFactor(now.Add(after))).To(gomega.And(gomega.BeNumerically(">=", 0.25), gomega.BeNumerically("<=", 16)))
+		gomega.Expect(t.Variance(now.Add(after))).To(gomega.And(gomega.BeNumerically(">=", 0), gomega.BeNumerically("<", 1e8)))
 		gomega.Expect(t.Requests(now.Add(after))).To(gomega.And(gomega.BeNumerically(">=", 0), gomega.BeNumerically("<=", 10_000)))
 		gomega.Expect(t.Limit(now.Add(after), slots)).To(gomega.And(gomega.BeNumerically(">=", 1), gomega.BeNumerically("<=", slots*17)))
 	}
@@ -155,6 +156,19 @@
 		gomega.Expect(t.Limit(now, slots)).To(gomega.BeNumerically("<", slots+queue))
 	})
 
+	ginkgo.It("have a variance that grows as the report ages, to that of the target", func() {
+		var t capacity.Target
+		gomega.Expect(t.Variance(start)).To(gomega.BeZero())
+		now := start
+		for i := range 400 {
+			now = now.Add(200 * ms)
+			t.Report(now, 0, load(1, i%2*4, 100))
+		}
+		gomega.Expect(t.Variance(now)).To(gomega.BeZero())
+		gomega.Expect(t.Variance(now.Add(200 * ms))).To(gomega.BeNumerically("~", 0.94, 0.2))
+		gomega.Expect(t.Variance(now.Add(10 * time.Second))).To(gomega.BeNumerically("~", 4, 0.5))
+	})
+
 	ginkgo.It("have a mean error that follows the surprise of reports", func() {
 		var t capacity.Target
 		for i := range 200 {
@@ -287,6 +301,17 @@
 		}
 	})
 
+	ginkgo.It("falls for three slots on two cores", func() {
+		var t capacity.Target
+		now := start
+		for i := range 200 {
+			now = now.Add(50 * ms)
+			running := 1 + i%slots
+			t.Report(now, 0, load(running, 0, 100*max(running, 2)/2))
+		}
+		gomega.Expect(t.Limit(now, slots)).To(gomega.Equal(2.0))
+	})
+
 	ginkgo.It("falls the same way by durations", func() {
 		const many = 8
 		var t capacity.Target
--- a/internal/steer/placement/capacity_test.go
+++ b/internal/steer/placement/capacity_test.go
@@ -130,9 +130,10 @@
 	random  *rand.Rand
 	share   bool
 	now     time.Time
-	// requests are the requests at each target, and ends those that end at a time.
+	// requests are the numbers of requests at each target, and freeAt is when each of its slots becomes free.
 	requests [sharingTargets]int
 	running  []runningRequest
+	freeAt   [sharingTargets][sharingSlots]time.Time
 	sum      float64
 	count    int
 }
@@ -180,8 +181,17 @@
 		instance := f.random.Intn(sharingInstances)
 		f.placers[instance].CountSent(f.now, fmt.Sprint("t", target))
 		f.requests[target]++
-		wait := time.Duration(f.requests[target]/(sharingSlots+1)) * sharingWork
-		f.running = append(f.running, runningRequest{target, instance, f.now.Add(wait + time.Duration(f.random.ExpFloat64()*float64(sharingWork)))})
+		slot := &f.freeAt[target][0]
+		for i := range f.freeAt[target] {
+			if s := &f.freeAt[target][i]; s.Before(*slot) {
+				slot = s
+			}
+		}
+		if slot.Before(f.now) {
+			*slot = f.now
+		}
+		*slot = slot.Add(time.Duration(f.random.ExpFloat64() * float64(sharingWork)))
+		f.running = append(f.running, runningRequest{target, instance, *slot})
 	}
 }
 
