Choose targets of load-aware services by expected completion

Cause: an instance sent an object to one of two warm targets by utilization, whatever that meant for the caller's objective, so that some targets got several times the mean.

Change: for load-aware services, the placer takes the first target of the object's ranking that ends the request in time, learns the work of routes, how often ranks are warm and the delay to regions, and bounds how fast requests move between regions. Rankings are cached. Before the work of a route is known, and for other services, the choice is the former one.

--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -96,6 +96,7 @@
 	}
 	q := placement.Query{Service: j.service, RouteRegions: j.route.Regions, CustomerRegions: j.customerRegions(), Tried: j.tried, NoTokenRequests: j.tokenRequests >= maxTargetTokenRequests}
 	q.Object = j.object()
+	j.setExpectations(now, &q)
 	prefer, fallback := e.chooseVersions(now, j)
 	q.Version = prefer
 	if prefer != fallback && e.rollouts.Concentrates(now, j.service) {
@@ -197,6 +198,7 @@
 		Shed: r.ResponseHeaders.NotRun, AddressTaken: r.ResponseHeaders.WrongTarget, TargetLoad: r.ResponseHeaders.TargetLoad, WarmupRemaining: r.ResponseHeaders.WarmupRemaining,
 		RateLimit: r.ResponseHeaders.RateLimit, InvalidRateLimit: r.ResponseHeaders.InvalidRateLimit,
 		RetryAfter: r.ResponseHeaders.RetryAfter,
+		Route:      j.route.Name, RankingPosition: a.choice.RankingPosition, Load: a.choice.Load,
 	})
 	e.logPause(now, j, target, r.ResponseHeaders)
 	e.logLimit(j.headers.ID, target.Name, limit)
--- /dev/null
+++ b/internal/steer/completion/completion.go
@@ -0,0 +1,190 @@
+// Package completion estimates when a target would end a request, and picks the target of a
+// request by that: the first one of the object's ranking that is expected to end it in time,
+// otherwise the one that ends it first within the deadline.
+//
+// A target that handled an object recently is warm for it and needs less time. Work learns the
+// time of warm and of cold runs of a route from responses, Warmth how often targets are warm by
+// their rank, Delays the network delay to each region. Regions bounds how fast requests move
+// between regions.
+//
+// # Usage
+//
+//	request := completion.Request{Work: work, Mean: mean, Objective: objective, Remaining: left}
+//	var s completion.Search
+//	for rank, t := range ranking {
+//		s.Add(&request, request.Estimate(completion.Candidate{Index: rank, Warmth: warmth.At(rank), ...}))
+//	}
+//	i, ok := s.Best(completion.AnyRegion)
+package completion
+
+import "time"
+
+const (
+	// maxWarmWait is the wait up to which a target is preferred to the next of the ranking.
+	maxWarmWait = 200 * time.Millisecond
+	// inTimeFraction is the fraction of the objective within which a request is expected to end
+	// in time, as the time of work varies.
+	inTimeFraction = 0.88
+	// coldSurcharge is the part of the additional work of a cold run that is added to its cost,
+	// because the target is occupied for longer.
+	coldSurcharge = 0.5
+	// MaxCandidates is how many targets of a ranking are considered.
+	MaxCandidates = 16
+	// minRoom is the minimum expected time until a target at its limit has room.
+	minRoom = time.Millisecond
+	// AnyRegion allows the targets of all regions.
+	AnyRegion = -1
+)
+
+// Request is what the estimates need to know of a request. Mean is the mean work of the requests
+// of the service.
+type Request struct {
+	Work      Estimate
+	Mean      time.Duration
+	Objective time.Duration
+	Remaining time.Duration
+}
+
+// Candidate is a target for a request. Warmth is the probability that it is warm for the object,
+// Requests the number of requests of all instances there, and Factor the time of work relative to
+// the usual. Delay is the network delay both ways. Region is an index of its region.
+type Candidate struct {
+	Index    int
+	Region   int
+	Slots    int
+	Requests float64
+	Factor   float64
+	Warmth   float64
+	Delay    time.Duration
+	// Doubtful is set for a target that is used only if there is no other.
+	Doubtful bool
+	// Over is by how many requests the target would be above its limit with this one. It gets none
+	// then.
+	Over float64
+}
+
+// Estimated is a candidate with its expected completion.
+type Estimated struct {
+	Index    int
+	Region   int
+	Expected time.Duration
+	cost     time.Duration
+	class    class
+	removed  bool
+	// room is the expected time until a target at its limit could take the request.
+	room time.Duration
+}
+
+// class is the preference for a candidate, the best one first.
+type class int
+
+const (
+	// prompt candidates end the request in time after a short wait.
+	prompt class = iota
+	inTime
+	late
+	doubtful
+	tooLate
+	full
+)
+
+// Estimate returns the expected completion of the request at a candidate.
+func (r *Request) Estimate(c Candidate) Estimated {
+	work := r.Work.at(c.Warmth)
+	slots := float64(max(1, c.Slots))
+	wait := 0.0
+	if c.Requests >= slots {
+		wait = (c.Requests - slots + 1) / slots * float64(r.Mean) * c.Factor
+	}
+	expected := c.Delay + time.Duration(wait+float64(work)*c.Factor)
+	e := Estimated{Index: c.Index, Region: c.Region, Expected: expected}
+	e.cost = expected + time.Duration(coldSurcharge*float64(work-r.Work.Warm)*c.Factor)
+	e.class = r.classOf(&c, expected, time.Duration(wait))
+	if c.Over > 0 {
+		e.class = full
+		e.room = max(minRoom, time.Duration(c.Over/slots*float64(r.Mean)*c.Factor))
+	}
+	return e
+}
+
+func (r *Request) classOf(c *Candidate, expected, wait time.Duration) class {
+	punctual := r.Objective <= 0 || expected <= time.Duration(inTimeFraction*float64(r.Objective))
+	switch {
+	case r.Remaining > 0 && expected > r.Remaining:
+		return tooLate
+	case c.Doubtful:
+		return doubtful
+	case punctual && wait <= maxWarmWait:
+		return prompt
+	case punctual:
+		return inTime
+	}
+	return late
+}
+
+// Full reports whether the target is at its limit.
+func (e *Estimated) Full() bool { return e.class == full }
+
+// Search holds the candidates of one request, in the order of the ranking. The zero value is empty.
+type Search struct {
+	list [MaxCandidates]Estimated
+	n    int
+	room time.Duration
+}
+
+// Add adds a candidate, unless it is at its limit. It reports whether there is room for more.
+func (s *Search) Add(r *Request, e Estimated) bool {
+	if e.class == full {
+		s.addRoom(r, &e)
+		return true
+	}
+	if s.n < MaxCandidates {
+		s.list[s.n] = e
+		s.n++
+	}
+	return s.n < MaxCandidates
+}
+
+// addRoom notes when a target at its limit has room, if it could end the request then.
+func (s *Search) addRoom(r *Request, e *Estimated) {
+	if r.Remaining > 0 && e.room+e.Expected > r.Remaining {
+		return
+	}
+	if s.room == 0 || e.room < s.room {
+		s.room = e.room
+	}
+}
+
+// RoomIn returns the expected time until a target that is at its limit could take the request and
+// end it within its deadline, 0 if there is none.
+func (s *Search) RoomIn() time.Duration { return s.room }
+
+// Remove removes a candidate that cannot be used after all.
+func (s *Search) Remove(index int) {
+	for i := range s.n {
+		if s.list[i].Index == index {
+			s.list[i].removed = true
+		}
+	}
+}
+
+// Best returns the best candidate of a region: the first one that ends the request in time after a
+// short wait, otherwise the one of the best class with the lowest cost.
+func (s *Search) Best(region int) (best Estimated, ok bool) {
+	for i := range s.n {
+		e := &s.list[i]
+		if e.removed || e.class == tooLate || (region != AnyRegion && e.Region != region) {
+			continue
+		}
+		if e.class == prompt {
+			return *e, true
+		}
+		if !ok || e.class < best.class || (e.class == best.class && e.cost < best.cost) {
+			best, ok = *e, true
+		}
+	}
+	return best, ok
+}
+
+// Punctual reports whether the candidate is expected to end the request in time.
+func (e *Estimated) Punctual() bool { return e.class == prompt || e.class == inTime }
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -68,6 +68,8 @@
 	Route     string
 	Objective time.Duration
 	Remaining time.Duration
+	// Body is the size of the request's body in bytes.
+	Body int
 }
 
 // Choice is the result of Placer.Choose. If Target is nil, Full tells whether there
@@ -114,6 +116,10 @@
 	Ran      bool
 	// TimedOut says that the request reached its deadline, at this instance or at the target.
 	TimedOut bool
+	// Route is that of the Query, RankingPosition and Load those of the Choice.
+	Route           string
+	RankingPosition int
+	Load            float64
 	// Unreachable says that the target could not be connected to, Failed that
 	// it sent no response or a server error.
 	Unreachable bool
@@ -174,6 +180,8 @@
 	uploads bool
 	// workReported holds the services with a target that has reported how long work takes.
 	workReported map[string]bool
+	// completions is what is known for the choice by expected completion time.
+	completions completions
 }
 
 // Configure sets the services' settings.
@@ -217,7 +225,12 @@
 		p.add(t)
 	}
 	t.confirmed = t.confirmed || (ok && t.TargetRegistration != r)
+	if ok && (t.Slots != r.Slots || t.Domain != r.Domain) {
+		p.completions.version++
+	}
 	t.TargetRegistration = r
+	chosen := r.Target
+	t.chosen = &chosen
 	if region := p.Regions[r.Domain]; region != t.region {
 		t.region, t.ownerVersion = region, 0
 	}
@@ -231,6 +244,7 @@
 		p.services = make(map[string][]*target)
 	}
 	p.services[t.Service] = append(p.services[t.Service], t)
+	p.completions.version++
 }
 
 func (p *Placer) drop(t *target) {
@@ -243,6 +257,7 @@
 		}
 	}
 	p.services[t.Service] = remaining
+	p.completions.version++
 }
 
 // Remove removes a target and returns its address, which is empty if the target
@@ -288,39 +303,15 @@
 	return ok && t.Address == chosen.Address && !p.leaving(t) && !t.addressTaken && !p.evacuated[t.Domain] && !p.paused(now, t)
 }
 
-// Names returns the names of all targets, sorted.
-func (p *Placer) Names() []string {
-	all := make([]string, 0, len(p.targets))
-	for n := range p.targets {
-		all = append(all, n)
-	}
-	sort.Strings(all)
-	return all
-}
-
-// VersionTargets returns the number of a service's targets that have a version.
-func (p *Placer) VersionTargets(service, version string) (n int) {
-	for _, t := range p.services[service] {
-		if t.Version == version {
-			n++
-		}
-	}
-	return n
-}
-
-// Versions returns the numbers of a service's targets by version.
-func (p *Placer) Versions(service string) map[string]int {
-	counts := make(map[string]int)
-	for _, t := range p.services[service] {
-		counts[t.Version]++
-	}
-	return counts
-}
-
 // Choose picks a target with free capacity and counts the request as in flight
 // there until Done or Cancel is called. It does not count a request whose Choice has
 // NeedsProbe or NeedsToken set.
 func (p *Placer) Choose(now time.Time, q Query) Choice {
+	if p.LoadAware(q.Service) {
+		if c, ok := p.chooseByCompletion(now, &q); ok {
+			return c
+		}
+	}
 	all := p.order(now, &q)
 	if len(all) == 0 {
 		return p.noneUsable(now, &q)
@@ -341,43 +332,6 @@
 	return Choice{Full: true}
 }
 
-// firstFitting picks the first target for which fits returns true and which has a token
-// for the request if its rate is limited. A target that may be cold without this
-// instance knowing is picked to be probed, unless a probe has failed, and one whose token
-// has to be requested is picked for that.
-func (p *Placer) firstFitting(now time.Time, q *Query, all []ranked, fits func(int, *target) bool) (Choice, bool) {
-	for i, t := range all {
-		if !fits(i, t.target) {
-			continue
-		}
-		choice := Choice{RankingPosition: i}
-		if p.mayBeCold(now, t.target) && !t.probeFailed {
-			choice.NeedsProbe = true
-			return choice.of(t.target), true
-		}
-		choice.WarmingUp = t.cold(now)
-		switch p.admit(now, t.target, choice.WarmingUp, !q.NoTokenRequests) {
-		case admitted:
-			t.begin(now)
-			choice.ChosenAt = now
-			choice.Load = t.utilization(now)
-			return choice.of(t.target), true
-		case tokenNeeded:
-			choice.NeedsToken = true
-			return choice.of(t.target), true
-		case rejected:
-		}
-	}
-	return Choice{}, false
-}
-
-// of returns the choice with a copy of a target.
-func (c Choice) of(t *target) Choice {
-	chosen := t.Target
-	c.Target, c.StartMillis = &chosen, t.StartMillis
-	return c
-}
-
 // Cancel releases a Choice that was not used.
 func (p *Placer) Cancel(name string) {
 	if t, ok := p.targets[name]; ok {
@@ -393,6 +347,7 @@
 	}
 	t.end()
 	p.recordDuration(now, t, r)
+	p.recordWork(now, t, r)
 	p.adjustConcurrency(now, t, r)
 	t.addressTaken = t.addressTaken || r.AddressTaken
 	if r.TargetLoad != nil {
--- /dev/null
+++ b/internal/steer/placement/placement_capacity.go
@@ -0,0 +1,41 @@
+package placement
+
+import "time"
+
+const (
+	// maxWorkReportAge is how long the work time that a target reported is used. A phase in which
+	// work takes longer lasts some 600 ms.
+	maxWorkReportAge = 600 * time.Millisecond
+	minWorkFactor    = 0.25
+	maxWorkFactor    = 16
+	// maxRequestsPerSlot is how many requests per slot a target gets.
+	maxRequestsPerSlot = 2.0
+	workFactorPercent  = 100
+)
+
+// targetState is what the choice by completion time needs to know of a target: the requests of all
+// instances there, how many it takes well, and the time of work relative to the usual.
+type targetState struct {
+	requests float64
+	limit    float64
+	factor   float64
+}
+
+// stateOf returns the state of a target. Everything that the choice by completion time knows of the load
+// of targets comes from here.
+func (p *Placer) stateOf(now time.Time, t *target) targetState {
+	return targetState{
+		requests: t.estimatedRequests(now),
+		limit:    maxRequestsPerSlot * float64(max(1, t.Slots)),
+		factor:   t.reportedWorkFactor(now),
+	}
+}
+
+// reportedWorkFactor returns the time of work relative to the usual that the target reported lately, 1
+// if it has not.
+func (t *target) reportedWorkFactor(now time.Time) float64 {
+	if t.load.WorkPercent <= 0 || now.Sub(t.loadAt) > maxWorkReportAge {
+		return 1
+	}
+	return min(max(float64(t.load.WorkPercent)/workFactorPercent, minWorkFactor), maxWorkFactor)
+}
--- /dev/null
+++ b/internal/steer/placement/placement_completion.go
@@ -0,0 +1,276 @@
+package placement
+
+import (
+	"time"
+
+	"lacewingramp.example/lacewingramp/internal/steer/completion"
+)
+
+const (
+	// maxConsidered is how many usable targets of a ranking are looked at, those at their limit
+	// included.
+	maxConsidered = 32
+	// meanWorkWeight is the weight of the latest response in the mean work of a service.
+	meanWorkWeight = 0.05
+	// maxMeanRatio bounds the weight of a single response in the mean.
+	maxMeanRatio = 4
+	// bodyBandwidth is the bandwidth, in bytes per second, with which a body is sent to another
+	// region: that of the links of small instances, 10 Mbit/s.
+	bodyBandwidth = 10e6 / 8
+	// unnamedWarmth is the probability that a target is warm for a request without an object.
+	unnamedWarmth = 0.5
+)
+
+// completions holds what a Placer has learned for the choice by completion time. version counts the
+// changes of targets and weights that change rankings.
+type completions struct {
+	version  int
+	rankings map[objectKey]*objectRanking
+	services map[string]*serviceWork
+}
+
+// serviceWork is what is known of the requests of a service. mean is the mean work of all routes.
+// regions holds the regions of its targets by index. weights and weightsAt are the weights of regions that the rankings are
+// based on.
+type serviceWork struct {
+	routes    map[string]*routeWork
+	mean      time.Duration
+	warmth    completion.Warmth
+	movement  completion.Regions
+	regions   []string
+	weights   map[string]float64
+	weightsAt time.Time
+}
+
+// routeWork is what is known of the requests of a route.
+type routeWork struct {
+	work   completion.Work
+	delays completion.Delays
+}
+
+func (p *Placer) serviceWorkOf(service string) *serviceWork {
+	s, ok := p.completions.services[service]
+	if !ok {
+		if p.completions.services == nil {
+			p.completions.services = make(map[string]*serviceWork)
+		}
+		s = &serviceWork{routes: make(map[string]*routeWork)}
+		p.completions.services[service] = s
+	}
+	return s
+}
+
+func (s *serviceWork) routeOf(name string) *routeWork {
+	r, ok := s.routes[name]
+	if !ok {
+		r = &routeWork{}
+		s.routes[name] = r
+	}
+	return r
+}
+
+// regionIndex returns the index of a region.
+func (s *serviceWork) regionIndex(region string) int {
+	for i, r := range s.regions {
+		if r == region {
+			return i
+		}
+	}
+	s.regions = append(s.regions, region)
+	return len(s.regions) - 1
+}
+
+// chooseByCompletion picks a target by the expected completion of the request. It returns false as long as the
+// work of the route is not known.
+func (p *Placer) chooseByCompletion(now time.Time, q *Query) (Choice, bool) {
+	s := p.serviceWorkOf(q.Service)
+	route, ok := s.routes[q.Route]
+	if !ok || !route.work.Estimate().Known() || len(p.services[q.Service]) > maxRankedTargets {
+		return Choice{}, false
+	}
+	w := walk{
+		now: now, query: q, service: s, route: route, targets: p.services[q.Service],
+		request: completion.Request{Work: route.work.Estimate(), Mean: s.mean, Objective: q.Objective, Remaining: q.Remaining},
+	}
+	w.delays(p.HomeRegion)
+	if q.Object == "" {
+		p.walkUnnamed(&w)
+	} else {
+		w.ranking = p.rankingOf(now, q, s)
+		for i := range w.ranking.order {
+			if !p.consider(&w, int(w.ranking.order[i])) {
+				break
+			}
+		}
+	}
+	if w.usable == 0 {
+		return p.noneUsable(now, q), true
+	}
+	return p.takeBest(&w), true
+}
+
+// walk is the state of one choice. usable counts the usable targets that were looked at.
+type walk struct {
+	now         time.Time
+	query       *Query
+	service     *serviceWork
+	route       *routeWork
+	targets     []*target
+	ranking     *objectRanking
+	request     completion.Request
+	search      completion.Search
+	regionDelay [completion.MaxRegions]time.Duration
+	usable      int
+	ranks       [maxConsidered]int
+}
+
+// delays looks up the network delay to each region, with the time to send the body to another one.
+func (w *walk) delays(home string) {
+	for i, region := range w.service.regions {
+		if i == len(w.regionDelay) {
+			return
+		}
+		w.regionDelay[i] = w.delay(home, region)
+	}
+}
+
+func (w *walk) delay(home, region string) time.Duration {
+	d := w.route.delays.To(home, region)
+	if region != home {
+		d += time.Duration(float64(w.query.Body) / bodyBandwidth * float64(time.Second))
+	}
+	return d
+}
+
+// delayTo returns the network delay to a target.
+func (w *walk) delayTo(home string, t *target, region int) time.Duration {
+	if region < len(w.regionDelay) && w.regionDelay[region] > 0 {
+		return w.regionDelay[region]
+	}
+	return w.delay(home, t.region)
+}
+
+// walkUnnamed considers targets in an order that differs for each request.
+func (p *Placer) walkUnnamed(w *walk) {
+	n := len(w.targets)
+	if n == 0 {
+		return
+	}
+	first := int(p.rankingKey("") % uint64(n))
+	for i := range n {
+		if !p.consider(w, (first+i)%n) {
+			return
+		}
+	}
+}
+
+// consider adds a target to the candidates if it is usable. It reports whether more should be
+// considered.
+func (p *Placer) consider(w *walk, index int) bool {
+	t := w.targets[index]
+	if !p.usable(w.now, t, w.query) {
+		return true
+	}
+	rank := w.usable
+	w.ranks[rank] = index
+	w.usable++
+	state := p.stateOf(w.now, t)
+	region := w.service.regionIndex(t.region)
+	c := completion.Candidate{
+		Index: rank, Region: region, Slots: t.Slots, Requests: state.requests, Factor: state.factor,
+		Warmth: w.warmthAt(t, rank), Delay: w.delayTo(p.HomeRegion, t, region),
+		Doubtful: (t.failureRatio > 0 && t.failing(w.now)) || p.slow(w.now, t), Over: max(0, state.requests+1-state.limit),
+	}
+	if !t.allowsAnother(w.now) {
+		c.Over = max(c.Over, 1)
+	}
+	return w.search.Add(&w.request, w.request.Estimate(c)) && w.usable < maxConsidered
+}
+
+// warmthAt returns the probability that a target is warm for the object.
+func (w *walk) warmthAt(t *target, rank int) float64 {
+	switch {
+	case w.ranking == nil:
+		return unnamedWarmth
+	case t.cold(w.now):
+		return 0
+	case w.ranking.sentLately(w.now, t):
+		return completion.LatelyWarmth
+	}
+	return w.service.warmth.At(rank + len(w.query.Tried))
+}
+
+// takeBest picks the best candidate that has a token for the request if its rate is limited.
+func (p *Placer) takeBest(w *walk) Choice {
+	insisted := completion.AnyRegion
+	if best, ok := w.search.Best(completion.AnyRegion); ok && len(w.query.Tried) == 0 {
+		insisted = w.service.movement.Want(w.now, best.Region)
+	}
+	for {
+		best, ok := w.search.Best(insisted)
+		if !ok || !best.Punctual() {
+			best, ok = w.search.Best(completion.AnyRegion)
+		}
+		if !ok {
+			return Choice{Full: true, RoomIn: w.search.RoomIn()}
+		}
+		t := w.targets[w.ranks[best.Index]]
+		c, ok := p.take(w.now, w.query, best.Index, t)
+		if !ok {
+			w.search.Remove(best.Index)
+			continue
+		}
+		c.Target, c.StartMillis, c.Expected = t.chosen, t.StartMillis, best.Expected
+		if !c.NeedsProbe && !c.NeedsToken {
+			w.service.movement.Sent(best.Region)
+			if w.ranking != nil {
+				w.ranking.recordSent(w.now, t)
+			}
+		}
+		return c
+	}
+}
+
+// recordWork learns the work of a route from a response of a target that had a free slot.
+func (p *Placer) recordWork(now time.Time, t *target, r Report) {
+	if !p.LoadAware(t.Service) && (r.TargetLoad == nil || r.TargetLoad.WorkPercent <= 0) {
+		return
+	}
+	if !r.Ran || r.Failed || r.TimedOut || r.Took <= 0 || t.cold(now) || now.Add(-r.Took).Before(p.resumedAt) {
+		return
+	}
+	if r.Load > 1 || (r.TargetLoad != nil && r.TargetLoad.Waiting > 0) {
+		return
+	}
+	s := p.serviceWorkOf(t.Service)
+	route := s.routeOf(r.Route)
+	factor := t.reportedWorkFactor(now)
+	if r.TargetLoad != nil && r.TargetLoad.WorkPercent > 0 {
+		factor = min(max(float64(r.TargetLoad.WorkPercent)/workFactorPercent, minWorkFactor), maxWorkFactor)
+	}
+	work := time.Duration(float64(r.Took-route.delays.To(p.HomeRegion, t.region)) / factor)
+	if work <= 0 {
+		return
+	}
+	route.delays.Add(t.region, r.Took)
+	route.work.Add(work)
+	estimate := route.work.Estimate()
+	if !estimate.Known() {
+		return
+	}
+	s.warmth.Add(r.RankingPosition, estimate.IsWarm(work))
+	if s.mean == 0 {
+		s.mean = estimate.Warm
+	}
+	s.mean += fractionOf(min(work, maxMeanRatio*s.mean)-s.mean, meanWorkWeight)
+}
+
+// UsualWork returns the usual work of a route at a target that is warm for the object and at one that is
+// not, 0 if not known.
+func (p *Placer) UsualWork(service, route string) completion.Estimate {
+	s, ok := p.completions.services[service]
+	if !ok || s.routes[route] == nil {
+		return completion.Estimate{}
+	}
+	return s.routes[route].work.Estimate()
+}
--- a/internal/steer/placement/placement_target.go
+++ b/internal/steer/placement/placement_target.go
@@ -32,6 +32,9 @@
 // load includes. addressTaken says that another target responds at the address.
 type target struct {
 	lacewingramp.TargetRegistration
+	// chosen is the copy of the registered target that choices by completion time refer to. It is
+	// replaced with each registration and never changed.
+	chosen    *lacewingramp.Target
 	region    string
 	hash      uint64
 	inflight  int
