Choose by the probability of ending in time; loads of several kinds in the emulator

Cause: at a target whose load is uncertain, the mean wait says little of whether a request ends in time.

Change: candidates are compared by that probability and by a surcharge on cold runs. The emulator has scenarios with several kinds of requests, regions in turn, bursts, hot objects and noise.

--- a/internal/proof/emulator/emulator.go
+++ b/internal/proof/emulator/emulator.go
@@ -70,6 +70,20 @@
 	SlowFactor  float64
 	SlowFrom    time.Duration
 	SlowUntil   time.Duration
+
+	// Kinds replaces ObjectsPerRegion, RequestRate, ProcessingTime, LatencyObjective and Timeout
+	// if it is not empty. CallerFractions holds the fraction of the requests from each region. Their rates rise
+	// and fall in turn by the fraction WaveAmplitude, unless WavePeriod is 0, and fall to the fraction
+	// LoadDropTo at LoadDropAt, unless that is 0.
+	// Only the requests that callers send from CountFrom on are counted, as no target has cached an object at first.
+	Kinds           []Kind
+	CountFrom       time.Duration
+	CallerFractions []float64
+	WavePeriod      time.Duration
+	WaveAmplitude   float64
+	LoadDropAt      time.Duration
+	LoadDropTo      float64
+	Noise           Noise
 }
 
 // Result counts the outcomes of the callers' requests. Each request has exactly one
@@ -91,6 +105,9 @@
 	// answered requests that were sent in the window, the fraction that was answered
 	// in time. Windows without answered requests are left out.
 	InTimeRatios []float64
+	// MaxRegionShift is the largest change, from one window to the next, of the fraction of a
+	// region's answered requests that each region answered, for scenarios with several kinds.
+	MaxRegionShift float64
 }
 
 // WindowLength is the length of the windows of Result.InTimeRatios.
@@ -126,10 +143,14 @@
 	now          time.Time
 	events       events
 	sequence     int
+	attempts     int
 	targets      []*target
 	byName       map[string]*target
 	result       Result
 	windowCounts [][2]int
+	// shifts holds, for each window and region of callers, the number of requests that each
+	// region answered.
+	shifts [][][]int
 }
 
 // target is a simulated target. useCount is the number of requests that it has begun
@@ -145,6 +166,8 @@
 	removed  bool
 	// mayBeSlow is set for the targets that are slow for a while.
 	mayBeSlow bool
+	// noisy is set while the target is slow by Scenario.Noise.
+	noisy bool
 }
 
 // drop removes a waiting request.
@@ -161,9 +184,12 @@
 // caller sends it for the second time, after a refusal. ended is set once it has been answered or
 // cancelled, and running while a target processes it.
 type request struct {
-	object   string
-	region   int
-	boundTo  int
+	object  string
+	kind    *Kind
+	region  int
+	boundTo int
+	// attempt numbers the attempts of all requests.
+	attempt  int
 	instance int
 	sentAt   time.Time
 	tried    []string
@@ -192,8 +218,12 @@
 	}
 	p.Init(sim.topology(), sim.random)
 	sim.windowCounts = make([][2]int, int(s.LoadDuration/WindowLength)+1)
-	for region := range s.Targets {
-		sim.scheduleArrival(region)
+	if len(s.Kinds) > 0 {
+		sim.scheduleKinds()
+	} else {
+		for region := range s.Targets {
+			sim.scheduleArrival(region)
+		}
 	}
 	if s.RemovedTargets > 0 {
 		sim.at(s.RemovedAt, sim.removeTargets)
@@ -281,7 +311,7 @@
 	}
 	name := ""
 	if len(r.tried) < maxAttempts {
-		name = sim.policy.Choose(sim.now, r.instance, Request{Object: r.object, BoundTo: r.boundTo, Tried: r.tried})
+		name = sim.policy.Choose(sim.now, r.instance, sim.describe(r))
 	}
 	if name == "" {
 		sim.refuse(r)
@@ -291,7 +321,7 @@
 	t := sim.find(name)
 	attempt := len(r.tried)
 	retried := r.retried
-	sim.at(r.sentAt.Add(sim.Timeout).Sub(startTime), func() {
+	sim.at(r.sentAt.Add(sim.timeoutOf(r)).Sub(startTime), func() {
 		if !r.ended && r.retried == retried && len(r.tried) == attempt {
 			sim.cancel(r, t)
 		}
@@ -302,8 +332,8 @@
 // cancel ends a request at its timeout. The target drops it when it learns of that.
 func (sim *simulation) cancel(r *request, t *target) {
 	r.ended = true
-	sim.result.Failed++
-	sim.policy.Done(sim.now, r.instance, Response{Target: t.name, Cancelled: true, Took: sim.now.Sub(r.chosenAt)})
+	sim.count(r, &sim.result.Failed)
+	sim.policy.Done(sim.now, r.instance, Response{Target: t.name, Attempt: r.attempt, Route: routeOf(r), Cancelled: true, Took: sim.now.Sub(r.chosenAt)})
 	sim.after(sim.latency(r, t), func() {
 		if r.running {
 			r.running = false
@@ -331,7 +361,7 @@
 func (sim *simulation) refuse(r *request) {
 	if r.retried {
 		r.ended = true
-		sim.result.Refused++
+		sim.count(r, &sim.result.Refused)
 		return
 	}
 	r.retried = true
@@ -357,16 +387,16 @@
 func (sim *simulation) process(r *request, t *target) {
 	t.running++
 	r.running = true
-	processing := float64(sim.ProcessingTime) * (1 + maxProcessingDeviation*(2*sim.random.Float64()-1))
+	processing := sim.processingTime(r, t) * (1 + maxProcessingDeviation*(2*sim.random.Float64()-1))
 	if t.useObject(r.object, sim.CacheSize) {
 		processing *= 1 - sim.CacheHitSavings
-		sim.result.CacheHits++
+		sim.count(r, &sim.result.CacheHits)
 	}
 	elapsed := sim.now.Sub(startTime)
 	if t.mayBeSlow && elapsed >= sim.SlowFrom && elapsed < sim.SlowUntil {
 		processing *= sim.SlowFactor
 	}
-	sim.result.Processed++
+	sim.count(r, &sim.result.Processed)
 	sim.after(time.Duration(processing), func() {
 		if !r.running {
 			return
@@ -408,13 +438,14 @@
 // respond sends a target's response to the instance, with the target's current load.
 // If the target did not process the request, the instance tries another target.
 func (sim *simulation) respond(r *request, t *target, processed bool) {
-	running, waiting := t.running, len(t.waiting)
+	running, waiting, percent := t.running, len(t.waiting), sim.workPercent(t)
 	sim.after(sim.latency(r, t), func() {
 		if r.ended {
 			return
 		}
 		sim.policy.Done(sim.now, r.instance, Response{
 			Target: t.name, Processed: processed, Removed: t.removed, Took: sim.now.Sub(r.chosenAt), Running: running, Waiting: waiting,
+			Attempt: r.attempt, Route: routeOf(r), WorkPercent: percent,
 		})
 		if !processed {
 			sim.dispatch(r)
@@ -427,25 +458,27 @@
 func (sim *simulation) recordResponse(r *request, t *target) {
 	r.ended = true
 	if r.region != t.region {
-		sim.result.CrossRegion++
+		sim.count(r, &sim.result.CrossRegion)
 	}
+	sim.recordRegion(r, t)
 	latency := sim.now.Sub(r.sentAt)
 	window := &sim.windowCounts[int(r.sentAt.Sub(startTime)/WindowLength)]
 	window[0]++
-	if latency <= sim.LatencyObjective {
-		sim.result.InTime++
+	if latency <= sim.objectiveOf(r) {
+		sim.count(r, &sim.result.InTime)
 		window[1]++
 		return
 	}
-	sim.result.Late++
+	sim.count(r, &sim.result.Late)
 }
 
 func (sim *simulation) summarize() Result {
-	for _, c := range sim.windowCounts {
-		if c[0] > 0 {
+	for w, c := range sim.windowCounts {
+		if c[0] > 0 && time.Duration(w)*WindowLength >= sim.CountFrom {
 			sim.result.InTimeRatios = append(sim.result.InTimeRatios, float64(c[1])/float64(c[0]))
 		}
 	}
+	sim.summarizeRegions()
 	return sim.result
 }
 
--- a/internal/proof/emulator/policy.go
+++ b/internal/proof/emulator/policy.go
@@ -36,6 +36,13 @@
 	Object  string
 	BoundTo int
 	Tried   []string
+	// Attempt numbers the attempts of all requests.
+	Attempt int
+	// Route is the kind of the request, "" if the scenario has only one. Objective is the time left to its latency objective and
+	// Remaining that to its timeout.
+	Route     string
+	Objective time.Duration
+	Remaining time.Duration
 }
 
 // Response is what an instance learns from a target's response, Took after it sent the request.
@@ -51,6 +58,11 @@
 	Removed   bool
 	Running   int
 	Waiting   int
+	// Attempt and Route are those of the Request.
+	Attempt int
+	Route   string
+	// WorkPercent is how long the target said that processing takes, 0 if it did not.
+	WorkPercent int
 }
 
 // Policy chooses a target for each request. One Policy serves all instances, but may
@@ -89,12 +101,16 @@
 	NoneReserved bool
 	// NothingReported is set if instances do not tell each other of slow targets.
 	NothingReported bool
+	// ByCompletion is set if targets are chosen by the expected completion of requests.
+	ByCompletion bool
 
 	placers []*placement.Placer
 	// heartbeatAt is when the instances have last told each other of slow targets, and
 	// heartbeats how often.
 	heartbeatAt time.Time
 	heartbeats  int
+	// choices holds the choices of the attempts in progress.
+	choices map[int]placement.Choice
 }
 
 const service = "s"
@@ -102,6 +118,8 @@
 // Name returns the policy's name.
 func (p *PlacementPolicy) Name() string {
 	switch {
+	case p.ByCompletion:
+		return "lacewingramp, by completion"
 	case p.NoneReserved:
 		return "lacewingramp, none reserved"
 	case p.NothingReported:
@@ -114,12 +132,14 @@
 // Init creates a Placer for each instance.
 func (p *PlacementPolicy) Init(top Topology, _ *rand.Rand) {
 	p.placers, p.heartbeatAt = nil, time.Time{}
+	p.choices = make(map[int]placement.Choice)
 	regions := make(map[string]string)
 	for i := range top.Regions {
 		regions[domainName(i)] = regionName(i)
 	}
 	for i := range top.Regions * top.InstancesPerRegion {
 		placer := &placement.Placer{Self: fmt.Sprint(i), Regions: regions, HomeRegion: regionName(i / top.InstancesPerRegion)}
+		placer.SetRoutes([]lacewingramp.Route{{Upload: p.ByCompletion}})
 		placer.Configure([]lacewingramp.Service{{Name: service}})
 		if !p.NoneReserved {
 			placer.SetCustomers(customers(top.BoundFractions))
@@ -184,7 +204,7 @@
 // Choose returns the choice of the instance's Placer.
 func (p *PlacementPolicy) Choose(now time.Time, instance int, r Request) string {
 	p.exchangeHeartbeats(now)
-	q := placement.Query{Service: service, Object: r.Object, Tried: r.Tried}
+	q := placement.Query{Service: service, Object: r.Object, Tried: r.Tried, Route: r.Route, Objective: r.Objective, Remaining: r.Remaining}
 	if r.BoundTo >= 0 {
 		q.CustomerRegions = lacewingramp.NameList{regionName(r.BoundTo)}
 	}
@@ -192,19 +212,28 @@
 	if c.Target == nil {
 		return ""
 	}
+	if p.ByCompletion {
+		p.choices[r.Attempt] = c
+	}
 	return c.Target.Name
 }
 
 // Done reports a response to the instance's Placer.
 func (p *PlacementPolicy) Done(now time.Time, instance int, r Response) {
+	c := p.choices[r.Attempt]
+	delete(p.choices, r.Attempt)
+	report := placement.Report{Target: r.Target, ChosenAt: now.Add(-r.Took), Took: r.Took, Route: r.Route, RankingPosition: c.RankingPosition, Load: c.Load}
 	if r.Cancelled {
-		p.placers[instance].Done(now, placement.Report{Target: r.Target, TimedOut: true, Took: r.Took, ChosenAt: now.Add(-r.Took)})
+		report.TimedOut = true
+		p.placers[instance].Done(now, report)
 		return
 	}
-	p.placers[instance].Done(now, placement.Report{
-		Target: r.Target, ChosenAt: now.Add(-r.Took), Took: r.Took, Ran: r.Processed, Shed: !r.Processed, Unreachable: r.Removed && !r.Processed,
-		TargetLoad: &lacewingramp.TargetLoad{Running: r.Running, Waiting: r.Waiting},
-	})
+	report.Ran, report.Shed, report.Unreachable = r.Processed, !r.Processed, r.Removed && !r.Processed
+	report.TargetLoad = &lacewingramp.TargetLoad{Running: r.Running, Waiting: r.Waiting}
+	if p.ByCompletion {
+		report.TargetLoad.WorkPercent = r.WorkPercent
+	}
+	p.placers[instance].Done(now, report)
 }
 
 // RemoveTarget removes a target from the Placers of all instances.
--- a/internal/steer/completion/completion.go
+++ b/internal/steer/completion/completion.go
@@ -17,17 +17,34 @@
 //	i, ok := s.Best(completion.AnyRegion)
 package completion
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
-	// maxWarmWait is the wait up to which a target is preferred to the next of the ranking.
-	maxWarmWait = 200 * time.Millisecond
+	// A target is taken without regard to later ones of the ranking if it is warm with the probability
+	// promptWarmth, ends the request in time with the probability promptProbability and the expected wait is at most
+	// maxPromptWait.
+	promptWarmth      = 0.5
+	promptProbability = 0.85
+	maxPromptWait     = 200 * time.Millisecond
+	// punctualProbability is the probability from which a request is taken to end in time.
+	punctualProbability = 0.5
+	// lateSurcharge is the part of the objective that is added to the cost of an end that is certainly late.
+	lateSurcharge = 1.0
 	// inTimeFraction is the fraction of the objective within which a request is expected to end
 	// in time, as the time of work varies.
 	inTimeFraction = 0.88
 	// coldSurcharge is the part of the additional work of a cold run that is added to its cost,
 	// because the target is occupied for longer.
-	coldSurcharge = 0.5
+	coldSurcharge = 1.0
+	// minVariance is the variance of the number of requests ahead that remains if the requests at a target are
+	// known, as the time of work varies.
+	minVariance = 0.3
+	// logisticScale is the scale of a logistic distribution with variance 1.
+	logisticScale = 0.551
+	maxExponent   = 50
 	// MaxCandidates is how many targets of a ranking are considered.
 	MaxCandidates = 16
 	// minRoom is the minimum expected time until a target at its limit has room.
@@ -53,6 +70,8 @@
 	Region   int
 	Slots    int
 	Requests float64
+	// Variance is the variance of the estimate of Requests.
+	Variance float64
 	Factor   float64
 	Warmth   float64
 	Delay    time.Duration
@@ -69,6 +88,8 @@
 	Region   int
 	Expected time.Duration
 	cost     time.Duration
+	// punctual is the probability that the request ends within its objective.
+	punctual float64
 	class    class
 	removed  bool
 	// room is the expected time until a target at its limit could take the request.
@@ -79,10 +100,9 @@
 type class int
 
 const (
-	// prompt candidates end the request in time after a short wait.
+	// prompt candidates are expected to be warm and to end the request in time after a short wait.
 	prompt class = iota
-	inTime
-	late
+	usual
 	doubtful
 	tooLate
 	full
@@ -90,36 +110,56 @@
 
 // Estimate returns the expected completion of the request at a candidate.
 func (r *Request) Estimate(c Candidate) Estimated {
-	work := r.Work.at(c.Warmth)
 	slots := float64(max(1, c.Slots))
-	wait := 0.0
-	if c.Requests >= slots {
-		wait = (c.Requests - slots + 1) / slots * float64(r.Mean) * c.Factor
-	}
-	expected := c.Delay + time.Duration(wait+float64(work)*c.Factor)
+	perRequest := float64(r.Mean) * c.Factor / slots
+	over := c.Requests - slots + 1
+	scale := logisticScale * math.Sqrt(c.Variance+minVariance)
+	wait := ahead(over, scale) * perRequest
+	work := float64(r.Work.at(c.Warmth)) * c.Factor
+	expected := c.Delay + time.Duration(wait+work)
 	e := Estimated{Index: c.Index, Region: c.Region, Expected: expected}
-	e.cost = expected + time.Duration(coldSurcharge*float64(work-r.Work.Warm)*c.Factor)
-	e.class = r.classOf(&c, expected, time.Duration(wait))
-	if c.Over > 0 {
-		e.class = full
-		e.room = max(minRoom, time.Duration(c.Over/slots*float64(r.Mean)*c.Factor))
+	e.punctual = 1
+	if r.Objective > 0 {
+		left := inTimeFraction*float64(r.Objective) - float64(c.Delay)
+		warm := within(left-float64(r.Work.Warm)*c.Factor, over, perRequest, scale)
+		cold := within(left-float64(r.Work.Cold)*c.Factor, over, perRequest, scale)
+		e.punctual = c.Warmth*warm + (1-c.Warmth)*cold
+	}
+	surcharge := coldSurcharge * (work - float64(r.Work.Warm)*c.Factor)
+	e.cost = expected + time.Duration(surcharge+lateSurcharge*(1-e.punctual)*float64(r.Objective))
+	e.class = r.classOf(&c, &e, time.Duration(wait))
+	if e.class == full {
+		e.room = max(minRoom, time.Duration(c.Over*perRequest))
 	}
 	return e
 }
 
-func (r *Request) classOf(c *Candidate, expected, wait time.Duration) class {
-	punctual := r.Objective <= 0 || expected <= time.Duration(inTimeFraction*float64(r.Objective))
+// ahead returns the expected number of requests that have to end before one can run, if that number is
+// over, with a logistic distribution of a scale, and at least 0.
+func ahead(over, scale float64) float64 {
+	return scale * math.Log1p(math.Exp(min(over/scale, maxExponent)))
+}
+
+// within returns the probability that the requests ahead end within a time.
+func within(left, over, perRequest, scale float64) float64 {
+	if left <= 0 {
+		return 0
+	}
+	return 1 / (1 + math.Exp(min((over-left/perRequest)/scale, maxExponent)))
+}
+
+func (r *Request) classOf(c *Candidate, e *Estimated, wait time.Duration) class {
 	switch {
-	case r.Remaining > 0 && expected > r.Remaining:
+	case c.Over > 0:
+		return full
+	case r.Remaining > 0 && e.Expected > r.Remaining:
 		return tooLate
 	case c.Doubtful:
 		return doubtful
-	case punctual && wait <= maxWarmWait:
+	case e.punctual >= promptProbability && c.Warmth >= promptWarmth && wait <= maxPromptWait:
 		return prompt
-	case punctual:
-		return inTime
 	}
-	return late
+	return usual
 }
 
 // Full reports whether the target is at its limit.
@@ -186,5 +226,5 @@
 	return best, ok
 }
 
-// Punctual reports whether the candidate is expected to end the request in time.
-func (e *Estimated) Punctual() bool { return e.class == prompt || e.class == inTime }
+// Punctual reports whether the candidate probably ends the request in time.
+func (e *Estimated) Punctual() bool { return e.punctual >= punctualProbability }
--- a/internal/steer/placement/placement_completion.go
+++ b/internal/steer/placement/placement_completion.go
@@ -177,7 +177,7 @@
 	state := p.stateOf(w.now, t)
 	region := w.service.regionIndex(t.region)
 	c := completion.Candidate{
-		Index: rank, Region: region, Slots: t.Slots, Requests: state.requests, Factor: state.factor,
+		Index: rank, Region: region, Slots: t.Slots, Requests: state.requests, Variance: state.variance, Factor: state.factor,
 		Warmth: w.warmthAt(t, rank), Delay: w.delayTo(p.HomeRegion, t, region),
 		Doubtful: (t.failureRatio > 0 && t.failing(w.now)) || p.slow(w.now, t), Over: max(0, state.requests+1-state.limit),
 	}
--- a/internal/steer/placement/placement_capacity.go
+++ b/internal/steer/placement/placement_state.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// maxWorkReportAge is how long the work time that a target reported is used. A phase in which
@@ -19,18 +22,35 @@
 	requests float64
 	limit    float64
 	factor   float64
+	variance float64
 }
 
 // stateOf returns the state of a target. Everything that the choice by completion time knows of the load
 // of targets comes from here.
 func (p *Placer) stateOf(now time.Time, t *target) targetState {
+	requests, variance := t.expectedRequests(now)
 	return targetState{
-		requests: t.estimatedRequests(now),
+		requests: requests,
+		variance: variance,
 		limit:    maxRequestsPerSlot * float64(max(1, t.Slots)),
 		factor:   t.reportedWorkFactor(now),
 	}
 }
 
+// expectedRequests returns the expected number of requests of all instances at a target and the
+// variance of that: those of others return to their average after a report.
+func (t *target) expectedRequests(now time.Time) (requests, variance float64) {
+	own := float64(t.inflight)
+	if t.loadAt.IsZero() {
+		return own, 0
+	}
+	usual := max(0, t.averageUtilization*float64(max(1, t.Slots))-own)
+	reported := float64(max(0, t.load.Running+t.load.Waiting-t.inflightAtLoad))
+	left := math.Exp(-now.Sub(t.loadAt).Seconds() / loadTimeConstant.Seconds())
+	others := usual + (reported-usual)*left
+	return own + others, others * (1 - left)
+}
+
 // reportedWorkFactor returns the time of work relative to the usual that the target reported lately, 1
 // if it has not.
 func (t *target) reportedWorkFactor(now time.Time) float64 {
