--- a/internal/steer/completion/completion.go
+++ b/internal/steer/completion/completion.go
@@ -26,7 +26,7 @@
 	// A target is taken without regard to later ones of the ranking if it is warm with the probability
 	// promptWarmth, ends the request in time with the probability promptProbability and the expected wait is at most
 	// maxPromptWait.
-	promptWarmth      = 0.5
+	promptWarmth      = 0.85
 	promptProbability = 0.85
 	maxPromptWait     = 200 * time.Millisecond
 	// punctualProbability is the probability from which a request is taken to end in time.
