--- /dev/null
+++ b/internal/steer/completion/completion.go
@@ -0,0 +1,230 @@
+// Package completion estimates when a target would end a request, and picks the target of a
+// request by that: the first one of the object's ranking that is expected to end it in time,
+// otherwise the one that ends it first within the deadline.
+//
+// A target that handled an object recently is warm for it and needs less time. Work learns the
+// time of warm and of cold runs of a route from responses, Warmth how often targets are warm by
+// their rank, Delays the network delay to each region. Regions bounds how fast requests move
+// between regions.
+//
+// # Usage
+//
+//	request := completion.Request{Work: work, Mean: mean, Objective: objective, Remaining: left}
+//	var s completion.Search
+//	for rank, t := range ranking {
+//		s.Add(&request, request.Estimate(completion.Candidate{Index: rank, Warmth: warmth.At(rank), ...}))
+//	}
+//	i, ok := s.Best(completion.AnyRegion)
+package completion
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// A target is taken without regard to later ones of the ranking if it is warm with the probability
+	// promptWarmth, ends the request in time with the probability promptProbability and the expected wait is at most
+	// maxPromptWait.
+	promptWarmth      = 0.85
+	promptProbability = 0.85
+	maxPromptWait     = 200 * time.Millisecond
+	// punctualProbability is the probability from which a request is taken to end in time.
+	punctualProbability = 0.5
+	// lateSurcharge is the part of the objective that is added to the cost of an end that is certainly late.
+	lateSurcharge = 1.0
+	// inTimeFraction is the fraction of the objective within which a request is expected to end
+	// in time, as the time of work varies.
+	inTimeFraction = 0.88
+	// coldSurcharge is the part of the additional work of a cold run that is added to its cost,
+	// because the target is occupied for longer.
+	coldSurcharge = 1.0
+	// minVariance is the variance of the number of requests ahead that remains if the requests at a target are
+	// known, as the time of work varies.
+	minVariance = 0.3
+	// logisticScale is the scale of a logistic distribution with variance 1.
+	logisticScale = 0.551
+	maxExponent   = 50
+	// MaxCandidates is how many targets of a ranking are considered.
+	MaxCandidates = 16
+	// minRoom is the minimum expected time until a target at its limit has room.
+	minRoom = time.Millisecond
+	// AnyRegion allows the targets of all regions.
+	AnyRegion = -1
+)
+
+// Request is what the estimates need to know of a request. Mean is the mean work of the requests
+// of the service.
+type Request struct {
+	Work      Estimate
+	Mean      time.Duration
+	Objective time.Duration
+	Remaining time.Duration
+}
+
+// Candidate is a target for a request. Warmth is the probability that it is warm for the object,
+// Requests the number of requests of all instances there, and Factor the time of work relative to
+// the usual. Delay is the network delay both ways. Region is an index of its region.
+type Candidate struct {
+	Index    int
+	Region   int
+	Slots    int
+	Requests float64
+	// Variance is the variance of the estimate of Requests.
+	Variance float64
+	Factor   float64
+	Warmth   float64
+	Delay    time.Duration
+	// Doubtful is set for a target that is used only if there is no other.
+	Doubtful bool
+	// Over is by how many requests the target would be above its limit with this one. It gets none
+	// then.
+	Over float64
+}
+
+// Estimated is a candidate with its expected completion.
+type Estimated struct {
+	Index    int
+	Region   int
+	Expected time.Duration
+	cost     time.Duration
+	// punctual is the probability that the request ends within its objective.
+	punctual float64
+	class    class
+	removed  bool
+	// room is the expected time until a target at its limit could take the request.
+	room time.Duration
+}
+
+// class is the preference for a candidate, the best one first.
+type class int
+
+const (
+	// prompt candidates are expected to be warm and to end the request in time after a short wait.
+	prompt class = iota
+	usual
+	doubtful
+	tooLate
+	full
+)
+
+// Estimate returns the expected completion of the request at a candidate.
+func (r *Request) Estimate(c Candidate) Estimated {
+	slots := float64(max(1, c.Slots))
+	perRequest := float64(r.Mean) * c.Factor / slots
+	over := c.Requests - slots + 1
+	scale := logisticScale * math.Sqrt(c.Variance+minVariance)
+	wait := ahead(over, scale) * perRequest
+	work := float64(r.Work.at(c.Warmth)) * c.Factor
+	expected := c.Delay + time.Duration(wait+work)
+	e := Estimated{Index: c.Index, Region: c.Region, Expected: expected}
+	e.punctual = 1
+	if r.Objective > 0 {
+		left := inTimeFraction*float64(r.Objective) - float64(c.Delay)
+		warm := within(left-float64(r.Work.Warm)*c.Factor, over, perRequest, scale)
+		cold := within(left-float64(r.Work.Cold)*c.Factor, over, perRequest, scale)
+		e.punctual = c.Warmth*warm + (1-c.Warmth)*cold
+	}
+	surcharge := coldSurcharge * (work - float64(r.Work.Warm)*c.Factor)
+	e.cost = expected + time.Duration(surcharge+lateSurcharge*(1-e.punctual)*float64(r.Objective))
+	e.class = r.classOf(&c, &e, time.Duration(wait))
+	if e.class == full {
+		e.room = max(minRoom, time.Duration(c.Over*perRequest))
+	}
+	return e
+}
+
+// ahead returns the expected number of requests that have to end before one can run, if that number is
+// over, with a logistic distribution of a scale, and at least 0.
+func ahead(over, scale float64) float64 {
+	return scale * math.Log1p(math.Exp(min(over/scale, maxExponent)))
+}
+
+// within returns the probability that the requests ahead end within a time.
+func within(left, over, perRequest, scale float64) float64 {
+	if left <= 0 {
+		return 0
+	}
+	return 1 / (1 + math.Exp(min((over-left/perRequest)/scale, maxExponent)))
+}
+
+func (r *Request) classOf(c *Candidate, e *Estimated, wait time.Duration) class {
+	switch {
+	case c.Over > 0:
+		return full
+	case r.Remaining > 0 && e.Expected > r.Remaining:
+		return tooLate
+	case c.Doubtful:
+		return doubtful
+	case e.punctual >= promptProbability && c.Warmth >= promptWarmth && wait <= maxPromptWait:
+		return prompt
+	}
+	return usual
+}
+
+// Full reports whether the target is at its limit.
+func (e *Estimated) Full() bool { return e.class == full }
+
+// Search holds the candidates of one request, in the order of the ranking. The zero value is empty.
+type Search struct {
+	list [MaxCandidates]Estimated
+	n    int
+	room time.Duration
+}
+
+// Add adds a candidate, unless it is at its limit. It reports whether there is room for more.
+func (s *Search) Add(r *Request, e Estimated) bool {
+	if e.class == full {
+		s.addRoom(r, &e)
+		return true
+	}
+	if s.n < MaxCandidates {
+		s.list[s.n] = e
+		s.n++
+	}
+	return s.n < MaxCandidates
+}
+
+// addRoom notes when a target at its limit has room, if it could end the request then.
+func (s *Search) addRoom(r *Request, e *Estimated) {
+	if r.Remaining > 0 && e.room+e.Expected > r.Remaining {
+		return
+	}
+	if s.room == 0 || e.room < s.room {
+		s.room = e.room
+	}
+}
+
+// RoomIn returns the expected time until a target that is at its limit could take the request and
+// end it within its deadline, 0 if there is none.
+func (s *Search) RoomIn() time.Duration { return s.room }
+
+// Remove removes a candidate that cannot be used after all.
+func (s *Search) Remove(index int) {
+	for i := range s.n {
+		if s.list[i].Index == index {
+			s.list[i].removed = true
+		}
+	}
+}
+
+// Best returns the best candidate of a region: the first one that ends the request in time after a
+// short wait, otherwise the one of the best class with the lowest cost.
+func (s *Search) Best(region int) (best Estimated, ok bool) {
+	for i := range s.n {
+		e := &s.list[i]
+		if e.removed || e.class == tooLate || (region != AnyRegion && e.Region != region) {
+			continue
+		}
+		if e.class == prompt {
+			return *e, true
+		}
+		if !ok || e.class < best.class || (e.class == best.class && e.cost < best.cost) {
+			best, ok = *e, true
+		}
+	}
+	return best, ok
+}
+
+// Punctual reports whether the candidate probably ends the request in time.
+func (e *Estimated) Punctual() bool { return e.punctual >= punctualProbability }
