--- a/internal/steer/capacity/capacity.go
+++ b/internal/steer/capacity/capacity.go
@@ -149,10 +149,13 @@
 	a.at = at
 }
 
-// remaining returns the fraction of a deviation that remains after a time.
+// remaining returns the fraction of a deviation that remains after a time: e to the power of -x, within
+// 0.012, by the first terms of the series of e to the power of x. A choice makes hundreds of estimates, and
+// math.Exp takes most of their time.
 func remaining(after, timeConstant time.Duration) float64 {
 	if after <= 0 {
 		return 1
 	}
-	return math.Exp(-float64(after) / float64(timeConstant))
+	x := float64(after) / float64(timeConstant)
+	return 1 / (1 + x*(1+x*(1.0/2+x*(1.0/6+x/24))))
 }
--- a/internal/steer/capacity/capacity_test.go
+++ b/internal/steer/capacity/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand"
 	"testing"
 	"time"
 
@@ -135,6 +136,39 @@
 		}
 	})
 
+	ginkgo.It("stay within bounds with any sequence of events, figures and times", func() {
+		figures := []int{math.MinInt, -1, 0, 1, 2, 3, 9, 12, 255, 4096, 4097, math.MaxInt}
+		durations := []time.Duration{math.MinInt64, -time.Hour, -1, 0, 1, ms, 400 * ms, time.Second, time.Hour, math.MaxInt64}
+		for seed := range int64(200) {
+			r := rand.New(rand.NewSource(seed))
+			figure := func() int { return figures[r.Intn(len(figures))] }
+			duration := func() time.Duration { return durations[r.Intn(len(durations))] }
+			var t capacity.Target
+			own := 0
+			for range 300 {
+				now := start.Add(time.Duration(r.Int63n(int64(2*time.Hour))) - time.Hour)
+				switch r.Intn(6) {
+				case 0, 1:
+					t.Report(now, duration(), lacewingramp.TargetLoad{Running: figure(), Waiting: figure(), Slots: figure(), WorkPercent: figure()})
+				case 2:
+					t.Sent(now)
+					own++
+				case 3:
+					t.Ended([]time.Time{now, {}}[r.Intn(2)])
+					own = max(0, own-1)
+				case 4:
+					t.Ran(now, duration(), duration())
+				case 5:
+					t.Overloaded(now)
+					t.Full(now, duration(), figure())
+				}
+				expectBounds(&t, now)
+				gomega.Expect(t.Requests(now)).To(gomega.BeNumerically(">=", own))
+				gomega.Expect(t.Limit(now, figure())).To(gomega.And(gomega.BeNumerically(">=", 1), gomega.BeNumerically("<=", 17*4096)))
+			}
+		}
+	})
+
 	// Guards against an estimate that stays at its last value for as long as a clock was stepped back.
 	ginkgo.It("follow new reports after the clock has stepped back", func() {
 		t := withQueue()
