Test the choice by completion time, and make it cheaper

Cause: a choice allocated the query and considered 16 targets also if the first was good.

Change: targets are considered until one need not be compared with later ones; the distribution of the requests ahead has cheap functions; movement between regions is slower (it was 17% in 2 s).

--- a/internal/steer/completion/completion.go
+++ b/internal/steer/completion/completion.go
@@ -42,9 +42,8 @@
 	// minVariance is the variance of the number of requests ahead that remains if the requests at a target are
 	// known, as the time of work varies.
 	minVariance = 0.3
-	// logisticScale is the scale of a logistic distribution with variance 1.
-	logisticScale = 0.551
-	maxExponent   = 50
+	// deviationScale is the scale of the distribution of the requests ahead, in standard deviations of the estimate.
+	deviationScale = 0.77
 	// MaxCandidates is how many targets of a ranking are considered.
 	MaxCandidates = 16
 	// minRoom is the minimum expected time until a target at its limit has room.
@@ -90,6 +89,7 @@
 	cost     time.Duration
 	// punctual is the probability that the request ends within its objective.
 	punctual float64
+	warmth   float64
 	class    class
 	removed  bool
 	// room is the expected time until a target at its limit could take the request.
@@ -113,12 +113,11 @@
 	slots := float64(max(1, c.Slots))
 	perRequest := float64(r.Mean) * c.Factor / slots
 	over := c.Requests - slots + 1
-	scale := logisticScale * math.Sqrt(c.Variance+minVariance)
+	scale := deviationScale * math.Sqrt(c.Variance+minVariance)
 	wait := ahead(over, scale) * perRequest
 	work := float64(r.Work.at(c.Warmth)) * c.Factor
 	expected := c.Delay + time.Duration(wait+work)
-	e := Estimated{Index: c.Index, Region: c.Region, Expected: expected}
-	e.punctual = 1
+	e := Estimated{Index: c.Index, Region: c.Region, Expected: expected, punctual: 1, warmth: c.Warmth}
 	if r.Objective > 0 {
 		left := inTimeFraction*float64(r.Objective) - float64(c.Delay)
 		warm := within(left-float64(r.Work.Warm)*c.Factor, over, perRequest, scale)
@@ -134,18 +133,23 @@
 	return e
 }
 
-// ahead returns the expected number of requests that have to end before one can run, if that number is
-// over, with a logistic distribution of a scale, and at least 0.
+// The number of requests ahead has Student's t-distribution with two degrees of freedom around the estimate, as
+// its functions cost little.
+
+// ahead returns the expected number of requests that have to end before one can run, if the estimate of that
+// number is over with a scale, and it is at least 0.
 func ahead(over, scale float64) float64 {
-	return scale * math.Log1p(math.Exp(min(over/scale, maxExponent)))
+	x := over / scale
+	return scale * (x + math.Sqrt(1+x*x)) / 2
 }
 
 // within returns the probability that the requests ahead end within a time.
 func within(left, over, perRequest, scale float64) float64 {
-	if left <= 0 {
+	if left <= 0 || perRequest <= 0 {
 		return 0
 	}
-	return 1 / (1 + math.Exp(min((over-left/perRequest)/scale, maxExponent)))
+	x := (left/perRequest - over) / scale
+	return (1 + x/math.Sqrt(1+x*x)) / 2
 }
 
 func (r *Request) classOf(c *Candidate, e *Estimated, wait time.Duration) class {
@@ -195,6 +199,17 @@
 	}
 }
 
+// HasPrompt reports whether there is a candidate in a region that is taken without regard to later ones.
+func (s *Search) HasPrompt(region int) bool {
+	for i := range s.n {
+		e := &s.list[i]
+		if e.class == prompt && !e.removed && (region == AnyRegion || e.Region == region) {
+			return true
+		}
+	}
+	return false
+}
+
 // RoomIn returns the expected time until a target that is at its limit could take the request and
 // end it within its deadline, 0 if there is none.
 func (s *Search) RoomIn() time.Duration { return s.room }
@@ -226,5 +241,7 @@
 	return best, ok
 }
 
-// Punctual reports whether the candidate probably ends the request in time.
-func (e *Estimated) Punctual() bool { return e.punctual >= punctualProbability }
+// Suitable reports whether the candidate is probably warm and probably ends the request in time.
+func (e *Estimated) Suitable() bool {
+	return e.punctual >= punctualProbability && e.warmth >= promptWarmth
+}
--- a/internal/steer/completion/regions.go
+++ b/internal/steer/completion/regions.go
@@ -7,8 +7,9 @@
 	MaxRegions = 8
 	// maxShareSpeed is how much the share of a region may change per second. Together with
 	// maxCredit, that is less than 15% in 2 s.
-	maxShareSpeed = 0.045
-	// maxCredit is by how many requests a region may be ahead of or behind its share.
+	maxShareSpeed = 0.03
+	// maxCredit is by how many requests a region may be ahead of or behind its share. A bound of 0.5 distorts
+	// the shares.
 	maxCredit = 0.75
 	// wantedTimeConstant is the time constant in which the shares that the choice asks for are
 	// averaged, and minWantedWeight the minimum weight of the latest request.
--- a/internal/steer/placement/placement_completion.go
+++ b/internal/steer/placement/placement_completion.go
@@ -89,96 +89,91 @@
 		return Choice{}, false
 	}
 	w := walk{
-		now: now, query: q, service: s, route: route, targets: p.services[q.Service],
+		now: now, service: s, route: route, targets: p.services[q.Service],
 		request: completion.Request{Work: route.work.Estimate(), Mean: s.mean, Objective: q.Objective, Remaining: q.Remaining},
 	}
-	w.delays(p.HomeRegion)
+	w.bodyTime = time.Duration(float64(q.Body) / bodyBandwidth * float64(time.Second))
+	for i := range min(len(s.regions), len(w.delays)) {
+		w.delays[i] = w.delay(p.HomeRegion, s.regions[i])
+	}
 	if q.Object == "" {
-		p.walkUnnamed(&w)
+		w.first = int(p.rankingKey("") % uint64(max(1, len(w.targets))))
 	} else {
 		w.ranking = p.rankingOf(now, q, s)
-		for i := range w.ranking.order {
-			if !p.consider(&w, int(w.ranking.order[i])) {
-				break
-			}
-		}
 	}
-	if w.usable == 0 {
+	c := p.takeBest(&w, q)
+	if c.Target == nil && w.usable == 0 {
 		return p.noneUsable(now, q), true
 	}
-	return p.takeBest(&w), true
+	return c, true
 }
 
-// walk is the state of one choice. usable counts the usable targets that were looked at.
+// walk is the state of one choice. The targets are considered in the order of the ranking, or from the index
+// first on if there is none. next is the position of the next one, and usable the number of usable targets that were
+// considered. indices holds their indices.
 type walk struct {
-	now         time.Time
-	query       *Query
-	service     *serviceWork
-	route       *routeWork
-	targets     []*target
-	ranking     *objectRanking
-	request     completion.Request
-	search      completion.Search
-	regionDelay [completion.MaxRegions]time.Duration
-	usable      int
-	ranks       [maxConsidered]int
-}
-
-// delays looks up the network delay to each region, with the time to send the body to another one.
-func (w *walk) delays(home string) {
-	for i, region := range w.service.regions {
-		if i == len(w.regionDelay) {
-			return
-		}
-		w.regionDelay[i] = w.delay(home, region)
-	}
+	now      time.Time
+	service  *serviceWork
+	route    *routeWork
+	targets  []*target
+	ranking  *objectRanking
+	first    int
+	next     int
+	full     bool
+	request  completion.Request
+	search   completion.Search
+	bodyTime time.Duration
+	delays   [completion.MaxRegions]time.Duration
+	usable   int
+	indices  [maxConsidered]int
 }
 
+// delay returns the network delay to a region, with the time to send the body to another one.
 func (w *walk) delay(home, region string) time.Duration {
 	d := w.route.delays.To(home, region)
 	if region != home {
-		d += time.Duration(float64(w.query.Body) / bodyBandwidth * float64(time.Second))
+		d += w.bodyTime
 	}
 	return d
 }
 
 // delayTo returns the network delay to a target.
 func (w *walk) delayTo(home string, t *target, region int) time.Duration {
-	if region < len(w.regionDelay) && w.regionDelay[region] > 0 {
-		return w.regionDelay[region]
+	if region < len(w.delays) && w.delays[region] > 0 {
+		return w.delays[region]
 	}
 	return w.delay(home, t.region)
 }
 
-// walkUnnamed considers targets in an order that differs for each request.
-func (p *Placer) walkUnnamed(w *walk) {
-	n := len(w.targets)
-	if n == 0 {
-		return
+// index returns the index of the target at a position.
+func (w *walk) index(position int) int {
+	if w.ranking != nil {
+		return int(w.ranking.order[position])
 	}
-	first := int(p.rankingKey("") % uint64(n))
-	for i := range n {
-		if !p.consider(w, (first+i)%n) {
-			return
+	return (w.first + position) % len(w.targets)
+}
+
+// advance considers further targets until one of a region need not be compared with later ones.
+func (p *Placer) advance(w *walk, q *Query, region int) {
+	for !w.full && w.next < len(w.targets) && !w.search.HasPrompt(region) {
+		i := w.index(w.next)
+		w.next++
+		if p.usable(w.now, w.targets[i], q) {
+			w.full = !p.consider(w, i, len(q.Tried))
 		}
 	}
 }
 
-// consider adds a target to the candidates if it is usable. It reports whether more should be
-// considered.
-func (p *Placer) consider(w *walk, index int) bool {
-	t := w.targets[index]
-	if !p.usable(w.now, t, w.query) {
-		return true
-	}
-	rank := w.usable
-	w.ranks[rank] = index
+// consider adds a target to the candidates, if it is not at its limit. It reports whether more should be considered.
+func (p *Placer) consider(w *walk, index, tried int) bool {
+	t, rank := w.targets[index], w.usable
+	w.indices[rank] = index
 	w.usable++
 	state := p.stateOf(w.now, t)
 	region := w.service.regionIndex(t.region)
 	c := completion.Candidate{
 		Index: rank, Region: region, Slots: t.Slots, Requests: state.requests, Variance: state.variance, Factor: state.factor,
-		Warmth: w.warmthAt(t, rank), Delay: w.delayTo(p.HomeRegion, t, region),
+		Warmth: w.warmthAt(t, rank+tried), Delay: w.delayTo(p.HomeRegion, t, region),
 		Doubtful: (t.failureRatio > 0 && t.failing(w.now)) || p.slow(w.now, t), Over: max(0, state.requests+1-state.limit),
 	}
 	if !t.allowsAnother(w.now) {
@@ -197,25 +192,23 @@
 	case w.ranking.sentLately(w.now, t):
 		return completion.LatelyWarmth
 	}
-	return w.service.warmth.At(rank + len(w.query.Tried))
+	return w.service.warmth.At(rank)
 }
 
 // takeBest picks the best candidate that has a token for the request if its rate is limited.
-func (p *Placer) takeBest(w *walk) Choice {
+func (p *Placer) takeBest(w *walk, q *Query) Choice {
 	insisted := completion.AnyRegion
-	if best, ok := w.search.Best(completion.AnyRegion); ok && len(w.query.Tried) == 0 {
+	p.advance(w, q, insisted)
+	if best, ok := w.search.Best(completion.AnyRegion); ok && len(q.Tried) == 0 {
 		insisted = w.service.movement.Want(w.now, best.Region)
 	}
 	for {
-		best, ok := w.search.Best(insisted)
-		if !ok || !best.Punctual() {
-			best, ok = w.search.Best(completion.AnyRegion)
-		}
+		best, ok := p.bestOf(w, q, insisted)
 		if !ok {
 			return Choice{Full: true, RoomIn: w.search.RoomIn()}
 		}
-		t := w.targets[w.ranks[best.Index]]
-		c, ok := p.take(w.now, w.query, best.Index, t)
+		t := w.targets[w.indices[best.Index]]
+		c, ok := p.take(w.now, q, best.Index, t)
 		if !ok {
 			w.search.Remove(best.Index)
 			continue
@@ -231,6 +224,18 @@
 	}
 }
 
+// bestOf returns the best candidate of a region if it suits the request, otherwise the best one of all.
+func (p *Placer) bestOf(w *walk, q *Query, region int) (completion.Estimated, bool) {
+	if region != completion.AnyRegion {
+		p.advance(w, q, region)
+		if best, ok := w.search.Best(region); ok && best.Suitable() {
+			return best, true
+		}
+	}
+	p.advance(w, q, completion.AnyRegion)
+	return w.search.Best(completion.AnyRegion)
+}
+
 // recordWork learns the work of a route from a response of a target that had a free slot.
 func (p *Placer) recordWork(now time.Time, t *target, r Report) {
 	if !p.LoadAware(t.Service) && (r.TargetLoad == nil || r.TargetLoad.WorkPercent <= 0) {
--- a/internal/steer/placement/placement_state.go
+++ b/internal/steer/placement/placement_state.go
@@ -1,9 +1,6 @@
 package placement
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// maxWorkReportAge is how long the work time that a target reported is used. A phase in which
@@ -46,7 +43,7 @@
 	}
 	usual := max(0, t.averageUtilization*float64(max(1, t.Slots))-own)
 	reported := float64(max(0, t.load.Running+t.load.Waiting-t.inflightAtLoad))
-	left := math.Exp(-now.Sub(t.loadAt).Seconds() / loadTimeConstant.Seconds())
+	left := float64(loadTimeConstant) / float64(loadTimeConstant+max(0, now.Sub(t.loadAt)))
 	others := usual + (reported-usual)*left
 	return own + others, others * (1 - left)
 }
