--- a/internal/steer/placement/placement_completion.go
+++ b/internal/steer/placement/placement_completion.go
@@ -125,6 +125,7 @@
 	bodyTime time.Duration
 	delays   [completion.MaxRegions]time.Duration
 	usable   int
+	warm     int
 	indices  [maxConsidered]int
 }
 
@@ -179,7 +180,10 @@
 	if !t.allowsAnother(w.now) {
 		c.Over = max(c.Over, 1)
 	}
-	return w.search.Add(&w.request, w.request.Estimate(c)) && w.usable < maxConsidered
+	if w.ranking != nil && !c.Doubtful && !t.cold(w.now) {
+		w.warm++
+	}
+	return w.search.Add(&w.request, w.request.Estimate(c)) && w.usable < maxConsidered && w.warm < targetsPerObject
 }
 
 // warmthAt returns the probability that a target is warm for the object.
