Refuse requests that a target's reset connection has not begun

A target over its limit of connections accepts a new one and resets it. The request had been written by then, so it counted as one that may have run: 502 for a caller whose request no target had begun. The same held for a refusal whose body was lost, and for a relayed request, as the peer's refusal arrived after the relaying instance's deadline.

For load-aware services, a connection that is new, or was idle for too long for a request that is not idempotent, is proven by a health check before the request is written. Idempotent requests are proven too while all targets have refused them, and for 10 s after a target of the service has closed a new connection. Without an answer the target counts as full, and the request goes to another one or is refused. A relayed request is not sent to a target in the last 80 ms. Quota of a request that was only shed is returned if its caller has left.

--- a/internal/call/exchange/exchange.go
+++ b/internal/call/exchange/exchange.go
@@ -74,14 +74,23 @@
 	ID            string
 	NonIdempotent bool
 	Allowed       func() bool
+	// Prove, if not nil, is a request that has no effect. It is sent first on a connection
+	// that is new, or that has been idle for too long to carry the request, and the request
+	// is only written once the target has responded to it. A target that is over its limit
+	// of connections resets new ones, which would leave in doubt whether the request ran.
+	Prove *message.Request
+	// DetectRefusals asks for two more signs that the target has not begun the request: that
+	// it has already closed a new connection, and the head of a refusal whose body is lost.
+	DetectRefusals bool
 }
 
 // Result is the outcome of a TargetRequest. Response is nil if no complete response
 // was received, and Err says why. It has to be released. ConnectionBroken says that the target
 // closed or reset the connection while the request was in flight, ConnectionLost that the
 // target, or the way to it, was silent until the connection failed, Unreachable that no
-// connection could be opened, NotAllowed that Allowed reported false, and
-// ConnectionOpened that a connection was opened for the request.
+// connection could be opened, NotAllowed that Allowed reported false,
+// ConnectionOpened that a connection was opened for the request, and ConnectionRefused that
+// the target closed it, or did not respond to Prove, before the request was written.
 type Result struct {
 	Response         *message.Response
 	ResponseHeaders  lacewingramp.ResponseHeaders
@@ -92,6 +101,8 @@
 	Unreachable      bool
 	NotAllowed       bool
 	ConnectionOpened bool
+
+	ConnectionRefused bool
 }
 
 // Client sends requests over a pool of connections to targets. It is safe for
@@ -111,13 +122,24 @@
 func (c *Client) Do(ctx context.Context, req TargetRequest) Result {
 	conn, opened, err := c.connection(ctx, req)
 	if err != nil {
-		return Result{Verdict: lacewingramp.NotRun, Err: err, Unreachable: ctx.Err() == nil}
+		// A reset comes from a target that has accepted the connection.
+		refused := req.DetectRefusals && errors.Is(err, syscall.ECONNRESET) && ctx.Err() == nil
+		return Result{Verdict: lacewingramp.NotRun, Err: err, Unreachable: ctx.Err() == nil && !refused, ConnectionRefused: refused}
 	}
 	if opened && req.Allowed != nil && !req.Allowed() {
 		_ = conn.Close()
 		return Result{Verdict: lacewingramp.NotRun, NotAllowed: true, ConnectionOpened: true}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	if err := c.prove(conn, opened, req); err != nil {
+		stop()
+		_ = conn.Close()
+		if !opened && ctx.Err() == nil {
+			req.NewConnection = true
+			return c.Do(ctx, req)
+		}
+		return Result{Verdict: lacewingramp.NotRun, Err: errors.Join(err, ctx.Err()), ConnectionOpened: opened, ConnectionRefused: ctx.Err() == nil}
+	}
 	result := c.exchange(conn, req)
 	result.ConnectionOpened = opened
 	if !stop() {
@@ -143,6 +165,9 @@
 		if conn := c.idle.get(req.Address, req.NonIdempotent); conn != nil {
 			return conn, false, nil
 		}
+		if conn := c.idle.getToProve(req); conn != nil {
+			return conn, false, nil
+		}
 	}
 	raw, err := c.Dial(ctx, req.Address)
 	if err != nil {
@@ -177,6 +202,9 @@
 	for range maxSkipped + 1 {
 		resp, err := conn.reader.Response(req.Request.Method)
 		if err != nil {
+			if req.DetectRefusals && c.refusedInHead(resp, req.ID) {
+				result.Verdict = lacewingramp.NotRun
+			}
 			result.Err = errors.Join(writeErr, err)
 			result.ConnectionLost = isLost(err)
 			result.ConnectionBroken = !result.ConnectionLost && brokenByTarget(err)
@@ -221,6 +249,16 @@
 	return h.NotRun || h.WrongTarget
 }
 
+// refusedInHead reports whether the head of a response, whose body could not be read, says that
+// the request with an ID has not run.
+func (c *Client) refusedInHead(resp *message.Response, id string) bool {
+	if resp == nil || id == "" {
+		return false
+	}
+	h := c.HeaderCodec.ResponseHeaders(resp.Status, resp.Header)
+	return h.ID == id && isRefusal(h)
+}
+
 // isLost reports whether a read error means that the target did not respond to keep-alive
 // probes, or that there is no way to it.
 func isLost(err error) bool {
@@ -254,20 +292,38 @@
 
 // openWithoutInput reports whether a connection is open and has no unread bytes.
 func openWithoutInput(conn net.Conn) bool {
+	_, err := peek(conn)
+	return errors.Is(err, syscall.EAGAIN)
+}
+
+// closedByTarget reports whether the target is known to have closed or reset a connection.
+func closedByTarget(conn net.Conn) bool {
+	n, err := peek(conn)
+	return (n == 0 && err == nil) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// errNoSocket is returned for a connection that is not one of the operating system.
+var errNoSocket = errors.New("not a socket")
+
+// peek returns the number of unread bytes of a connection, at most 1, or the error of reading
+// them without waiting. It is 0 without an error at the end of the input.
+func peek(conn net.Conn) (n int, err error) {
 	t, ok := conn.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, errNoSocket
 	}
 	raw, err := t.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	noInput := false
+	var peekErr error
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		noInput = errors.Is(e, syscall.EAGAIN)
+		n, _, peekErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
 	})
-	return err == nil && noInput
+	if err != nil {
+		return 0, err
+	}
+	return n, peekErr
 }
--- a/internal/call/exchange/idle.go
+++ b/internal/call/exchange/idle.go
@@ -47,6 +47,21 @@
 // those that no request can use. Those that may not carry a request that is not
 // idempotent stay for others.
 func (p *idlePool) get(address string, nonIdempotent bool) *connection {
+	return p.take(address, func(c *connection) bool { return c.carries(nonIdempotent) })
+}
+
+// getToProve returns the most recently used connection that can carry a request once it is
+// proven, or nil.
+func (p *idlePool) getToProve(req TargetRequest) *connection {
+	if req.Prove == nil {
+		return nil
+	}
+	return p.take(req.Address, func(c *connection) bool { return !c.refused })
+}
+
+// take returns the most recently used connection that can be reused and that is usable by a
+// request, or nil.
+func (p *idlePool) take(address string, usable func(*connection) bool) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list, ok := p.byAddress[address]
@@ -55,7 +70,7 @@
 	}
 	for i := len(list) - 1; i >= 0; i-- {
 		conn := list[i]
-		if !conn.carries(nonIdempotent) {
+		if !usable(conn) {
 			continue
 		}
 		list = slices.Delete(list, i, i+1)
--- /dev/null
+++ b/internal/call/exchange/prove.go
@@ -0,0 +1,51 @@
+package exchange
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"lacewingramp.example/lacewingramp/internal/call/message"
+)
+
+// proveTimeout is how long a target has to respond to the request that proves a connection.
+const proveTimeout = time.Second
+
+// provePrefix precedes the ID of the request in the ID of the one that proves its connection,
+// so that a repeated response to the latter is not taken for one to the request.
+const provePrefix = "prove-"
+
+// Reasons why a connection is not used for a request.
+var (
+	errClosedEarly = errors.New("the target closed the new connection")
+	errNotProven   = errors.New("the target did not respond properly on the connection to be proven")
+)
+
+// prove returns an error if the target does not serve the connection, as far as can be known
+// before the request is written.
+func (c *Client) prove(conn *connection, opened bool, req TargetRequest) error {
+	if req.Prove == nil || (!opened && conn.carries(req.NonIdempotent)) {
+		if opened && req.DetectRefusals && closedByTarget(conn.Conn) {
+			return errClosedEarly
+		}
+		return nil
+	}
+	id := provePrefix + req.ID
+	h := make(http.Header, 1)
+	c.HeaderCodec.SetRequestID(h, id)
+	_ = conn.SetDeadline(time.Now().Add(proveTimeout))
+	if _, err := conn.Write(message.AppendRequest(nil, req.Prove, h)); err != nil {
+		return err
+	}
+	resp, err := conn.reader.Response(req.Prove.Method)
+	if err != nil {
+		return err
+	}
+	defer resp.Release()
+	headers := c.HeaderCodec.ResponseHeaders(resp.Status, resp.Header)
+	if resp.Close || (headers.ID != "" && headers.ID != id) || conn.reader.Buffered() > 0 {
+		return errNotProven
+	}
+	conn.record(headers)
+	return conn.SetDeadline(time.Time{})
+}
--- a/internal/call/message/message.go
+++ b/internal/call/message/message.go
@@ -233,7 +233,8 @@
 }
 
 // Response reads one response to a request with the given method. Interim responses
-// are skipped. Its error is a FormatError unless the connection has failed.
+// are skipped. Its error is a FormatError unless the connection has failed. If only the body
+// cannot be read, the response is returned without it, beside the error.
 func (r *Reader) Response(method string) (*Response, error) {
 	r.limit.remaining, r.limit.remainingLines = maxResponseHeader, maxResponseLines
 	for {
@@ -247,7 +248,7 @@
 		r.limit.remaining = -1
 		response, err := r.readResponse(resp)
 		if err != nil {
-			return nil, r.responseError(err)
+			return &Response{Status: resp.StatusCode, Header: resp.Header, Close: true}, r.responseError(err)
 		}
 		return response, nil
 	}
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -192,7 +192,9 @@
 	expired       map[string]time.Time
 	reverted      map[string]time.Time
 	probes        map[string]*probe
-	reach         reach.Monitor
+	// resetAt maps services to the latest time when a target closed a new connection.
+	resetAt map[string]time.Time
+	reach   reach.Monitor
 	// reachCheck is closed when the check of the targets that is in progress ends. It is
 	// nil if there is none.
 	reachCheck chan struct{}
@@ -238,6 +240,7 @@
 	e.reverted = make(map[string]time.Time)
 	e.restored = make(chan struct{}, 1)
 	e.probes = make(map[string]*probe)
+	e.resetAt = make(map[string]time.Time)
 	e.peers = heartbeat.Peers{Self: s.Name, Region: s.Region, Regions: s.Regions}
 	e.store.interrupt = func() {}
 	return e
--- a/internal/entry/edge/edge_admit.go
+++ b/internal/entry/edge/edge_admit.go
@@ -47,7 +47,10 @@
 	rank           int
 	attempts       int
 	failedConnects int
-	tokenRequests  int
+	// refusedConnects counts the targets that closed the connection before the request was
+	// written.
+	refusedConnects int
+	tokenRequests   int
 	// relayed is set if another instance has relayed the request to this one, and
 	// triedRelays once this one has tried to relay it.
 	relayed     bool
--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -91,7 +91,7 @@
 	defer e.mu.Unlock()
 	now := e.Timer.Now()
 	e.noticePause(now)
-	if j.deadline.Sub(now) < minTimeLeft || j.attempts >= j.route.AttemptLimit || j.failedConnects >= maxFailedConnects {
+	if j.deadline.Sub(now) < e.minTimeLeft(j) || j.attempts >= j.route.AttemptLimit || j.failedConnects+j.refusedConnects >= maxFailedConnects {
 		return placement.Choice{}, false
 	}
 	q := placement.Query{Service: j.service, RouteRegions: j.route.Regions, CustomerRegions: j.customerRegions(), Tried: j.tried, NoTokenRequests: j.tokenRequests >= maxTargetTokenRequests}
@@ -144,10 +144,15 @@
 	e.HeaderCodec.SetTargetHeaders(h, lacewingramp.TargetHeaders{
 		Remaining: j.deadline.Sub(sentAt), Target: c.Target.Name, Customer: j.customerName(),
 	})
-	r := e.client.Do(ctx, exchange.TargetRequest{
+	req := exchange.TargetRequest{
 		Address: c.Target.Address, Request: j.request, Header: h, ID: j.headers.ID, NonIdempotent: !j.route.Idempotent,
 		Allowed: func() bool { return e.mayServe(c.Target) },
-	})
+	}
+	if e.loadAware(j.service) {
+		req.Prove, req.DetectRefusals = e.proof(j, c.Target), true
+	}
+	r := e.client.Do(ctx, req)
+	e.recordConnection(j.service, r)
 	j.received = append(j.received, r.Response)
 	took := e.Timer.Now().Sub(sentAt)
 	e.Meter.Attempt(r.Verdict, took)
@@ -194,7 +199,7 @@
 	e.placer.Done(now, placement.Report{
 		Target: target.Name, StartMillis: a.choice.StartMillis, ChosenAt: a.choice.ChosenAt, SentAt: a.sentAt, Took: now.Sub(a.choice.ChosenAt),
 		TimedOut: timedOut(r, now, j.deadline), Ran: r.Verdict == lacewingramp.Ran, Unreachable: r.Unreachable || a.gone, Failed: failed,
-		Shed: r.ResponseHeaders.NotRun, AddressTaken: r.ResponseHeaders.WrongTarget, TargetLoad: r.ResponseHeaders.TargetLoad, WarmupRemaining: r.ResponseHeaders.WarmupRemaining,
+		Shed: r.ResponseHeaders.NotRun || r.ConnectionRefused, AddressTaken: r.ResponseHeaders.WrongTarget, TargetLoad: r.ResponseHeaders.TargetLoad, WarmupRemaining: r.ResponseHeaders.WarmupRemaining,
 		RateLimit: r.ResponseHeaders.RateLimit, InvalidRateLimit: r.ResponseHeaders.InvalidRateLimit,
 		RetryAfter: r.ResponseHeaders.RetryAfter,
 	})
@@ -208,7 +213,7 @@
 			Object: j.object(), Load: a.load(), WarmingUp: a.choice.WarmingUp, Failed: failed, Unfinished: cancelled, EndedAt: now, Took: a.took,
 		})
 	}
-	succeeded := !failed && !r.Unreachable && !r.ResponseHeaders.WrongTarget && !cancelled
+	succeeded := !failed && !r.Unreachable && !r.ConnectionRefused && !r.ResponseHeaders.WrongTarget && !cancelled
 	if succeeded || !e.loglimit.Allow(now, "attempt") {
 		return
 	}
@@ -250,6 +255,10 @@
 		j.failedConnects++
 		return nil
 	}
+	if r.ConnectionRefused {
+		j.refusedConnects++
+		return nil
+	}
 	j.attempts++
 	switch {
 	case r.Verdict == lacewingramp.NotRun:
@@ -283,7 +292,7 @@
 // finishCancelled ends a request whose caller has disconnected. Nobody reads the
 // response, which only counts in metrics and the log.
 func (e *Edge) finishCancelled(j *job) *message.Response {
-	if j.mayHaveRun || j.attempts > 0 {
+	if j.mayHaveRun || (j.attempts > 0 && !e.loadAware(j.service)) {
 		return e.fail(j, http.StatusBadGateway, lacewingramp.CauseCallerGone, "the caller has left")
 	}
 	e.refundQuota(j)
@@ -312,7 +321,7 @@
 		return e.refuse(j, http.StatusServiceUnavailable, lacewingramp.CauseSlots, j.pauseLeft+fullRetryAfter(), "all targets have asked for a pause")
 	}
 	cause, detail := lacewingramp.CauseTarget, "no target could be reached"
-	if j.failedConnects < maxFailedConnects && (j.allFull || j.attempts > 0) {
+	if j.failedConnects < maxFailedConnects && (j.allFull || j.attempts > 0 || j.refusedConnects > 0) {
 		cause, detail = lacewingramp.CauseSlots, "all targets are full"
 	}
 	return e.refuse(j, http.StatusServiceUnavailable, cause, fullRetryAfter(), detail)
