Admit requests of load-aware services by a queue, and tell callers when to return

A request that found all targets full was refused at once, and all callers returned after 150 to 500 ms.

For load-aware services a request now waits in a queue of its service (internal/limit/admission) if room is expected in time, by class, returned callers first, fairly among customers, and by deadline. Others are refused with a Retry-After from the expected wait, at most a third of the caller's time. Returned tokens are kept for callers that return, and tokens of a pool that are granted too late are kept as well. The test of the metrics also calls the two new ones.

--- /dev/null
+++ b/internal/entry/edge/admission_internal_test.go
@@ -0,0 +1,118 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/call/message"
+	"lacewingramp.example/lacewingramp/internal/report/meter"
+	"lacewingramp.example/lacewingramp/internal/timer/manual"
+)
+
+var _ = ginkgo.Describe("the admission of an instance", func() {
+	var e *Edge
+	var timer *manual.Timer
+	ginkgo.BeforeEach(func() {
+		timer = manual.New(time.Unix(1_800_000_000, 0))
+		e = New(Settings{Name: "self", Domain: "a", Region: "north", Regions: map[string]string{"a": "north"}},
+			Dependencies{Timer: timer, Log: zerolog.Nop(), Meter: meter.New(), HeaderCodec: noHeaders{}})
+		e.placer.SetRoutes([]lacewingramp.Route{{Upload: true}})
+	})
+	newJob := func(customer *lacewingramp.Customer, class int) *job {
+		now := timer.Now()
+		return &job{
+			request: &message.Request{Method: http.MethodGet, Path: "/a", Header: make(http.Header)}, customer: customer, service: "s",
+			route:      &lacewingramp.Route{Name: "r", Service: "s", PriorityClass: class, AttemptLimit: 2},
+			receivedAt: now, deadline: now.Add(3 * time.Second), headers: lacewingramp.CallerHeaders{Timeout: 3 * time.Second},
+		}
+	}
+
+	ginkgo.It("takes the class of the customer before that of the route", func() {
+		gomega.Expect(newJob(&lacewingramp.Customer{PriorityClass: 0}, 2).class()).To(gomega.Equal(0))
+		gomega.Expect(newJob(&lacewingramp.Customer{PriorityClass: 2}, 0).class()).To(gomega.Equal(2))
+		gomega.Expect(newJob(nil, 2).class()).To(gomega.Equal(2))
+	})
+
+	// Load: a customer that uses its whole rate, whose tokens come from the keeper of its pool, which
+	// is slow. Guards against tokens that are lost to the customer with a late reply.
+	ginkgo.It("keeps a token that was granted too late for its request, once", func() {
+		e.quota.Configure(timer.Now(), map[string]lacewingramp.Limit{"c": {Rate: 0.001, Burst: 10}})
+		for e.quota.Take(timer.Now(), "c") {
+		}
+		e.expectLateToken(7, "c")
+		e.handleTokenReply(&lacewingramp.TokenReply{ID: 8, Granted: true})
+		gomega.Expect(e.quota.Take(timer.Now(), "c")).To(gomega.BeFalse())
+		e.handleTokenReply(&lacewingramp.TokenReply{ID: 7, Granted: true})
+		e.handleTokenReply(&lacewingramp.TokenReply{ID: 7, Granted: true})
+		gomega.Expect(e.quota.Take(timer.Now(), "c")).To(gomega.BeTrue())
+		gomega.Expect(e.quota.Take(timer.Now(), "c")).To(gomega.BeFalse())
+	})
+
+	// Load: a customer beyond its rate, whose refused requests return their tokens. Guards against
+	// these tokens being used by requests beyond the rate.
+	ginkgo.It("keeps returned tokens for callers that return", func(ctx context.Context) {
+		e.quota.Configure(timer.Now(), map[string]lacewingramp.Limit{"c": {Rate: 0.001, Burst: 10}})
+		for e.quota.Take(timer.Now(), "c") {
+		}
+		customer := &lacewingramp.Customer{Name: "c"}
+		first := newJob(customer, 1)
+		first.headers.Object = "17"
+		e.refundQuota(first)
+		timer.Advance(e.retryAfter(first))
+		_, err := e.takeQuota(ctx, newJob(customer, 1))
+		gomega.Expect(err).To(gomega.HaveOccurred())
+		again := newJob(customer, 1)
+		again.headers.Object = "17"
+		_, err = e.takeQuota(ctx, again)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	})
+
+	// Load: requests that are refused for lack of room, of callers with little time. Guards against
+	// callers that leave before they are told to return.
+	ginkgo.It("tells callers to return within a third of their time, and recognizes them", func() {
+		j := newJob(nil, 1)
+		j.headers.Object = "17"
+		timer.Advance(time.Second)
+		gomega.Expect(e.rateRetryAfter(j, 10*time.Second)).To(gomega.BeNumerically("<=", 2*time.Second/3))
+		gomega.Expect(e.boundRetryAfter(j, 10*time.Second)).To(gomega.BeNumerically("<=", 2*time.Second/3))
+		after := e.retryAfter(j)
+		gomega.Expect(after).To(gomega.BeNumerically("<=", 2*time.Second/3))
+		timer.Advance(after)
+		again, other := newJob(nil, 1), newJob(nil, 1)
+		again.headers.Object = "17"
+		for _, k := range []*job{again, other} {
+			e.recognizeReturn(timer.Now(), k)
+		}
+		gomega.Expect(again.returned).To(gomega.BeTrue())
+		gomega.Expect(other.returned).To(gomega.BeFalse())
+	})
+
+	// Guards against a relayed request whose refusal arrives after the relaying instance has taken it
+	// for lost, so that its caller gets 504 though it was never sent.
+	ginkgo.It("refuses a relayed request early enough for the refusal to arrive", func() {
+		j := newJob(nil, 1)
+		gomega.Expect(e.minTimeLeft(j)).To(gomega.Equal(minTimeLeft))
+		j.relayed = true
+		gomega.Expect(e.minTimeLeft(j)).To(gomega.Equal(minRelayedTimeLeft))
+	})
+
+	ginkgo.It("changes nothing for services that are not load-aware", func() {
+		e.placer.SetRoutes(nil)
+		j := newJob(nil, 1)
+		j.relayed = true
+		gomega.Expect(e.minTimeLeft(j)).To(gomega.Equal(minTimeLeft))
+		gomega.Expect(e.retryAfter(j)).To(gomega.BeNumerically(">=", minFullRetryAfter))
+		gomega.Expect(e.rateRetryAfter(j, 10*time.Second)).To(gomega.Equal(10 * time.Second))
+		gomega.Expect(e.boundRetryAfter(j, 10*time.Second)).To(gomega.Equal(10 * time.Second))
+		gomega.Expect(e.enqueue(j)).To(gomega.BeFalse())
+		e.recordRoom(timer.Now(), j, attempt{})
+		gomega.Expect(e.admission.queues).To(gomega.BeEmpty())
+		gomega.Expect(e.admission.returns).To(gomega.BeNil())
+	})
+})
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -132,6 +132,11 @@
 	// StoreCheck counts a check of the store by an instance that follows a peer, and whether
 	// the store answered.
 	StoreCheck(answered bool)
+	// AdmissionWait records that a request of a priority class ended its wait for room at a
+	// target, and whether it got any.
+	AdmissionWait(class int, gotRoom bool, took time.Duration)
+	// AdmissionQueue records the number of requests of a priority class that wait for room.
+	AdmissionQueue(class, waiting int)
 	// Unconfirmed records how long ago the instance's copy of the store's keys was last
 	// known to be complete.
 	Unconfirmed(age time.Duration)
@@ -201,6 +206,7 @@
 	// requestRate is the moving average of the requests received per second.
 	requestRate float64
 	lookupCache lookupCache
+	admission   admissionState
 	store       storeState
 	// tickedAt is when the last tick ran, and resumedAt when the first one ran after a pause
 	// of the process.
--- a/internal/entry/edge/edge_admit.go
+++ b/internal/entry/edge/edge_admit.go
@@ -8,6 +8,7 @@
 	"lacewingramp.example/lacewingramp"
 	"lacewingramp.example/lacewingramp/internal/call/message"
 	"lacewingramp.example/lacewingramp/internal/call/poison"
+	"lacewingramp.example/lacewingramp/internal/limit/admission"
 )
 
 // Delays after which a refused caller may retry, by cause.
@@ -64,6 +65,16 @@
 	// better one.
 	fallback *message.Response
 	allFull  bool
+	// returned is set if the caller was refused before and has returned. noRoom is set if the
+	// latest choice found no target with room, deferred if it let others go first, and roomIn is the time until one has, 0
+	// if not known. waiter is set while the request waits for room, and room describes the
+	// latest wait or refusal.
+	returned bool
+	noRoom   bool
+	deferred bool
+	roomIn   time.Duration
+	waiter   *admission.Waiter
+	room     roomReport
 	// received holds the responses of targets and of other instances.
 	received []*message.Response
 	// pauseLeft is the time to the end of the first pause of a target, if no other target
@@ -124,8 +135,8 @@
 	if resp := e.resolve(j); resp != nil {
 		return resp
 	}
-	if wait, err := e.takeQuota(ctx, j.customerName()); err != nil {
-		return e.refuse(j, http.StatusTooManyRequests, lacewingramp.CauseRate, wait, "over the customer's rate: "+err.Error())
+	if wait, err := e.takeQuota(ctx, j); err != nil {
+		return e.refuse(j, http.StatusTooManyRequests, lacewingramp.CauseRate, e.rateRetryAfter(j, wait), "over the customer's rate: "+err.Error())
 	}
 	return e.guard(j)
 }
--- a/internal/entry/edge/edge_heartbeat.go
+++ b/internal/entry/edge/edge_heartbeat.go
@@ -43,6 +43,7 @@
 	e.removeExpired(now)
 	e.settleReverted(now)
 	e.tickRollouts(ctx, now)
+	e.wakeWaiting(now)
 	ownRegion, otherRegions := e.peers.NextRound()
 	regional := e.newHeartbeat(now)
 	interRegion := *regional
--- a/internal/entry/edge/edge_pool.go
+++ b/internal/entry/edge/edge_pool.go
@@ -29,10 +29,18 @@
 
 // takeQuota takes quota for one request of a customer, from this instance's share of
 // the limit or else from the customer's pool. If there is none it returns the reason
-// and the delay after which the caller should retry.
-func (e *Edge) takeQuota(ctx context.Context, customer string) (wait time.Duration, err error) {
+// and the delay after which the caller should retry. Tokens that refused requests have returned
+// are for callers that return, in a deployment with load-aware services.
+func (e *Edge) takeQuota(ctx context.Context, j *job) (wait time.Duration, err error) {
+	customer := j.customerName()
 	e.mu.Lock()
-	ok := e.quota.Take(e.Timer.Now(), customer)
+	now := e.Timer.Now()
+	e.recognizeReturn(now, j)
+	take := e.quota.Take
+	if e.placer.AnyLoadAware() && !j.returned {
+		take = e.quota.TakeNew
+	}
+	ok := take(now, customer)
 	wait = max(minRateRetryAfter, e.quota.Wait(customer))
 	e.mu.Unlock()
 	if ok {
@@ -64,12 +72,17 @@
 		return errPoolBackoff
 	}
 	e.mu.Unlock()
+	requestID := uint64(0)
 	r, replied := e.exchangeToken(ctx, address, func(id uint64) *lacewingramp.Datagram {
+		requestID = id
 		return &lacewingramp.Datagram{TokenRequest: &lacewingramp.TokenRequest{ID: id, Customer: customer}}
 	})
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.Meter.TokenReply(replied && r.Granted)
+	if !replied {
+		e.expectLateToken(requestID, customer)
+	}
 	switch {
 	case !replied && ctx.Err() != nil:
 		return errPoolTimeout
@@ -116,7 +129,9 @@
 		case reply <- r:
 		default:
 		}
+		return
 	}
+	e.takeLateToken(r)
 }
 
 // updatePoolKeepers sets the instances that may keep pools: those that are registered
--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -57,7 +57,7 @@
 			}
 			continue
 		}
-		choice, ok := e.choose(j)
+		choice, ok := e.chooseOrWait(ctx, j)
 		if !ok && e.shouldRelay(j) {
 			continue
 		}
@@ -91,9 +91,14 @@
 	defer e.mu.Unlock()
 	now := e.Timer.Now()
 	e.noticePause(now)
+	j.noRoom, j.deferred = false, false
 	if j.deadline.Sub(now) < e.minTimeLeft(j) || j.attempts >= j.route.AttemptLimit || j.failedConnects+j.refusedConnects >= maxFailedConnects {
 		return placement.Choice{}, false
 	}
+	if e.defers(now, j) {
+		j.allFull, j.noRoom, j.deferred, j.roomIn = true, true, true, 0
+		return placement.Choice{}, false
+	}
 	q := placement.Query{Service: j.service, RouteRegions: j.route.Regions, CustomerRegions: j.customerRegions(), Tried: j.tried, NoTokenRequests: j.tokenRequests >= maxTargetTokenRequests}
 	q.Object = j.object()
 	prefer, fallback := e.chooseVersions(now, j)
@@ -106,8 +111,10 @@
 		q.Version, q.Object = fallback, j.object()
 		choice = e.placer.Choose(now, q)
 	}
+	choice = e.passKeptRoom(now, j, q, choice)
 	if choice.Target == nil {
 		j.allFull, j.pauseLeft = choice.Full, choice.RetryAfter
+		j.noRoom, j.roomIn = choice.Full && e.placer.LoadAware(j.service), choice.RoomIn
 		return choice, false
 	}
 	if choice.NeedsProbe || choice.NeedsToken {
@@ -120,6 +127,7 @@
 		}
 		return placement.Choice{}, false
 	}
+	e.recordAdmitted(now, j, choice)
 	e.rollouts.RecordSent(now, j.service, choice.Target.Version)
 	j.tried = append(j.tried, choice.Target.Name)
 	j.rank = choice.RankingPosition
@@ -203,6 +211,7 @@
 		RateLimit: r.ResponseHeaders.RateLimit, InvalidRateLimit: r.ResponseHeaders.InvalidRateLimit,
 		RetryAfter: r.ResponseHeaders.RetryAfter,
 	})
+	e.recordRoom(now, j, a)
 	e.logPause(now, j, target, r.ResponseHeaders)
 	e.logLimit(j.headers.ID, target.Name, limit)
 	e.logSlow(now, j.headers.ID, target, wasSlow)
@@ -318,11 +327,11 @@
 		return e.refuse(j, http.StatusServiceUnavailable, lacewingramp.CauseStopping, stoppingRetryAfter, "the instance is stopping")
 	}
 	if !j.allFull && j.pauseLeft > 0 {
-		return e.refuse(j, http.StatusServiceUnavailable, lacewingramp.CauseSlots, j.pauseLeft+fullRetryAfter(), "all targets have asked for a pause")
+		return e.refuse(j, http.StatusServiceUnavailable, lacewingramp.CauseSlots, e.boundRetryAfter(j, j.pauseLeft+fullRetryAfter()), "all targets have asked for a pause")
 	}
 	cause, detail := lacewingramp.CauseTarget, "no target could be reached"
 	if j.failedConnects < maxFailedConnects && (j.allFull || j.attempts > 0 || j.refusedConnects > 0) {
 		cause, detail = lacewingramp.CauseSlots, "all targets are full"
 	}
-	return e.refuse(j, http.StatusServiceUnavailable, cause, fullRetryAfter(), detail)
+	return e.refuse(j, http.StatusServiceUnavailable, cause, e.retryAfter(j), detail)
 }
--- a/internal/entry/edge/edge_response.go
+++ b/internal/entry/edge/edge_response.go
@@ -70,6 +70,9 @@
 	if after > 0 {
 		l = l.Dur("after", after)
 	}
+	if j.room.reported {
+		l = j.room.log(l)
+	}
 	l.Msg("request ended without a target's answer")
 }
 
--- a/internal/report/meter/meter.go
+++ b/internal/report/meter/meter.go
@@ -93,6 +93,17 @@
 	m.set.GetOrCreateCounter(`lacewingramp_store_checks_total{ok="` + strconv.FormatBool(answered) + `"}`).Inc()
 }
 
+// AdmissionWait records that a request of a priority class ended its wait for room at a target,
+// and whether it got any.
+func (m *Meter) AdmissionWait(class int, gotRoom bool, took time.Duration) {
+	m.set.GetOrCreateHistogram(`lacewingramp_admission_wait_seconds{class="` + strconv.Itoa(class) + `",room="` + strconv.FormatBool(gotRoom) + `"}`).Update(took.Seconds())
+}
+
+// AdmissionQueue records the number of requests of a priority class that wait for room.
+func (m *Meter) AdmissionQueue(class, waiting int) {
+	m.set.GetOrCreateGauge(`lacewingramp_admission_queue{class="`+strconv.Itoa(class)+`"}`, nil).Set(float64(waiting))
+}
+
 // Unconfirmed records how long ago the instance's copy of the store's keys was last known
 // to be complete.
 func (m *Meter) Unconfirmed(age time.Duration) {
--- a/internal/report/meter/meter_test.go
+++ b/internal/report/meter/meter_test.go
@@ -23,6 +23,8 @@
 		m.TargetToken(lacewingramp.TokenGranted)
 		m.TargetLeaving(true)
 		m.TargetPause()
+		m.AdmissionWait(1, true, time.Second)
+		m.AdmissionQueue(1, 2)
 		m.StoreCheck(true)
 		m.Unconfirmed(time.Second)
 		m.Relayed(lacewingramp.RelayResponded)
