--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -132,6 +132,11 @@
 	// StoreCheck counts a check of the store by an instance that follows a peer, and whether
 	// the store answered.
 	StoreCheck(answered bool)
+	// AdmissionWait records that a request of a priority class ended its wait for room at a
+	// target, and whether it got any.
+	AdmissionWait(class int, gotRoom bool, took time.Duration)
+	// AdmissionQueue records the number of requests of a priority class that wait for room.
+	AdmissionQueue(class, waiting int)
 	// Unconfirmed records how long ago the instance's copy of the store's keys was last
 	// known to be complete.
 	Unconfirmed(age time.Duration)
@@ -195,13 +200,16 @@
 	expired       map[string]time.Time
 	reverted      map[string]time.Time
 	probes        map[string]*probe
-	reach         reach.Monitor
+	// resetAt maps services to the latest time when a target closed a new connection.
+	resetAt map[string]time.Time
+	reach   reach.Monitor
 	// reachCheck is closed when the check of the targets that is in progress ends. It is
 	// nil if there is none.
 	reachCheck chan struct{}
 	// requestRate is the moving average of the requests received per second.
 	requestRate float64
 	lookupCache lookupCache
+	admission   admissionState
 	store       storeState
 	// tickedAt is when the last tick ran, and resumedAt when the first one ran after a pause
 	// of the process.
@@ -241,6 +249,7 @@
 	e.reverted = make(map[string]time.Time)
 	e.restored = make(chan struct{}, 1)
 	e.probes = make(map[string]*probe)
+	e.resetAt = make(map[string]time.Time)
 	e.peers = heartbeat.Peers{Self: s.Name, Region: s.Region, Regions: s.Regions}
 	e.store.interrupt = func() {}
 	return e
