--- a/internal/steer/completion/completion.go
+++ b/internal/steer/completion/completion.go
@@ -45,7 +45,7 @@
 	// deviationScale is the scale of the distribution of the requests ahead, in standard deviations of the estimate.
 	deviationScale = 0.77
 	// MaxCandidates is how many targets of a ranking are considered.
-	MaxCandidates = 16
+	MaxCandidates = 12
 	// minRoom is the minimum expected time until a target at its limit has room.
 	minRoom = time.Millisecond
 	// AnyRegion allows the targets of all regions.
@@ -113,6 +113,9 @@
 	slots := float64(max(1, c.Slots))
 	perRequest := float64(r.Mean) * c.Factor / slots
 	over := c.Requests - slots + 1
+	if c.Over > 0 {
+		return r.atLimit(&c, over*perRequest, perRequest)
+	}
 	scale := deviationScale * math.Sqrt(c.Variance+minVariance)
 	wait := ahead(over, scale) * perRequest
 	work := float64(r.Work.at(c.Warmth)) * c.Factor
@@ -127,12 +130,18 @@
 	surcharge := coldSurcharge * (work - float64(r.Work.Warm)*c.Factor)
 	e.cost = expected + time.Duration(surcharge+lateSurcharge*(1-e.punctual)*float64(r.Objective))
 	e.class = r.classOf(&c, &e, time.Duration(wait))
-	if e.class == full {
-		e.room = max(minRoom, time.Duration(c.Over*perRequest))
-	}
 	return e
 }
 
+// atLimit returns the expected completion at a target that is at its limit.
+func (r *Request) atLimit(c *Candidate, wait, perRequest float64) Estimated {
+	work := float64(r.Work.at(c.Warmth)) * c.Factor
+	return Estimated{
+		Index: c.Index, Region: c.Region, Expected: c.Delay + time.Duration(max(0, wait)+work), class: full,
+		room: max(minRoom, time.Duration(c.Over*perRequest)),
+	}
+}
+
 // The number of requests ahead has Student's t-distribution with two degrees of freedom around the estimate, as
 // its functions cost little.
 
@@ -154,8 +163,6 @@
 
 func (r *Request) classOf(c *Candidate, e *Estimated, wait time.Duration) class {
 	switch {
-	case c.Over > 0:
-		return full
 	case r.Remaining > 0 && e.Expected > r.Remaining:
 		return tooLate
 	case c.Doubtful:
--- a/internal/steer/completion/warmth.go
+++ b/internal/steer/completion/warmth.go
@@ -10,7 +10,7 @@
 )
 
 // initialWarmth is the warmth of the ranks before responses are seen.
-var initialWarmth = [MaxCandidates]float64{0.95, 0.88, 0.7, 0.5, 0.35, 0.25, 0.2, 0.15, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1}
+var initialWarmth = [MaxCandidates]float64{0.95, 0.88, 0.7, 0.5, 0.35, 0.25, 0.2, 0.15, 0.1, 0.1, 0.1, 0.1}
 
 // Warmth learns with which probability the targets at each rank are warm for an object. It does not
 // depend on the object, as an instance of a large deployment sees each object rarely.
--- a/internal/steer/placement/completion_test.go
+++ b/internal/steer/placement/completion_test.go
@@ -237,11 +237,12 @@
 	})
 })
 
-// BenchmarkChooseByCompletion measures a choice among 400 targets, for many objects and with all targets busy.
+// BenchmarkChooseByCompletion measures a choice among 400 targets for many objects: with free targets, with targets
+// that are busy, so that many are compared, and with all targets at their limits.
 func BenchmarkChooseByCompletion(b *testing.B) {
 	gomega.RegisterTestingT(b)
-	for _, busy := range []bool{false, true} {
-		b.Run(fmt.Sprint("busy=", busy), func(b *testing.B) {
+	for _, requests := range []int{0, 5, 8} {
+		b.Run(fmt.Sprint("requests=", requests), func(b *testing.B) {
 			p, now := awarePlacer(400)
 			queries := make([]placement.Query, 300)
 			for i := range queries {
@@ -249,8 +250,8 @@
 				p.Choose(now, queries[i])
 			}
 			for i := range 400 {
-				if busy {
-					p.Done(now, placement.Report{Target: fmt.Sprint("t", i), TargetLoad: &lacewingramp.TargetLoad{Running: 3, Waiting: 3}})
+				for range 3 {
+					p.Done(now, placement.Report{Target: fmt.Sprint("t", i), TargetLoad: &lacewingramp.TargetLoad{Running: min(3, requests), Waiting: max(0, requests-3)}})
 				}
 			}
 			b.ReportAllocs()
--- a/internal/steer/placement/placement_completion.go
+++ b/internal/steer/placement/placement_completion.go
@@ -9,7 +9,7 @@
 const (
 	// maxConsidered is how many usable targets of a ranking are looked at, those at their limit
 	// included.
-	maxConsidered = 32
+	maxConsidered = 20
 	// meanWorkWeight is the weight of the latest response in the mean work of a service.
 	meanWorkWeight = 0.05
 	// maxMeanRatio bounds the weight of a single response in the mean.
@@ -174,7 +174,7 @@
 	c := completion.Candidate{
 		Index: rank, Region: region, Slots: t.Slots, Requests: state.requests, Variance: state.variance, Factor: state.factor,
 		Warmth: w.warmthAt(t, rank+tried), Delay: w.delayTo(p.HomeRegion, t, region),
-		Doubtful: (t.failureRatio > 0 && t.failing(w.now)) || p.slow(w.now, t), Over: max(0, state.requests+1-state.limit),
+		Doubtful: (t.failureRatio > 0 && t.failing(w.now)) || p.slow(w.now, t), Over: state.over(),
 	}
 	if !t.allowsAnother(w.now) {
 		c.Over = max(c.Over, 1)
--- a/internal/steer/placement/placement_state.go
+++ b/internal/steer/placement/placement_state.go
@@ -11,6 +11,8 @@
 	// maxRequestsPerSlot is how many requests per slot a target gets.
 	maxRequestsPerSlot = 2.0
 	workFactorPercent  = 100
+	// maxOver is by how many requests the estimate of a target may be above its limit.
+	maxOver = 0.5
 )
 
 // targetState is what the choice by completion time needs to know of a target: the requests of all
@@ -56,3 +58,13 @@
 	}
 	return min(max(float64(t.load.WorkPercent)/workFactorPercent, minWorkFactor), maxWorkFactor)
 }
+
+// over returns by how many requests a target would be above its limit with another one, 0 if it would not. The estimate is
+// a mean, so half a request does not count.
+func (s targetState) over() float64 {
+	over := s.requests + 1 - s.limit
+	if over <= maxOver {
+		return 0
+	}
+	return over
+}
