--- a/internal/proof/emulator/policy.go
+++ b/internal/proof/emulator/policy.go
@@ -109,6 +109,8 @@
 	// heartbeats how often.
 	heartbeatAt time.Time
 	heartbeats  int
+	// perRegion is the number of instances in each region.
+	perRegion int
 	// choices holds the choices of the attempts in progress.
 	choices map[int]placement.Choice
 }
@@ -132,6 +134,7 @@
 // Init creates a Placer for each instance.
 func (p *PlacementPolicy) Init(top Topology, _ *rand.Rand) {
 	p.placers, p.heartbeatAt = nil, time.Time{}
+	p.perRegion = top.InstancesPerRegion
 	p.choices = make(map[int]placement.Choice)
 	regions := make(map[string]string)
 	for i := range top.Regions {
@@ -172,7 +175,13 @@
 	p.heartbeats++
 	for i, sender := range p.placers {
 		slow := sender.SlowTargets(now)
+		region, others := sender.TargetLoads(now)
 		for j, receiver := range p.placers {
+			if i != j && i/p.perRegion == j/p.perRegion {
+				receiver.RecordTargetLoads(now, region, domainName(i/p.perRegion))
+			} else if (i+j)%heartbeatRound == p.heartbeats%heartbeatRound {
+				receiver.RecordTargetLoads(now, others, domainName(i/p.perRegion))
+			}
 			if i == j || (i+j)%heartbeatRound != p.heartbeats%heartbeatRound {
 				continue
 			}
--- a/internal/steer/completion/work.go
+++ b/internal/steer/completion/work.go
@@ -47,6 +47,14 @@
 	return float64(took)*float64(took) < float64(e.Warm)*float64(e.Cold)
 }
 
+// Nearest returns the usual time of a run that took a duration: that of a warm one or of a cold one.
+func (e Estimate) Nearest(took time.Duration) time.Duration {
+	if e.IsWarm(took) {
+		return e.Warm
+	}
+	return e.Cold
+}
+
 // Known reports whether there is an estimate.
 func (e Estimate) Known() bool { return e.Warm > 0 }
 
--- a/internal/steer/placement/placement_completion.go
+++ b/internal/steer/placement/placement_completion.go
@@ -9,7 +9,7 @@
 const (
 	// maxConsidered is how many usable targets of a ranking are looked at, those at their limit
 	// included.
-	maxConsidered = 32
+	maxConsidered = 20
 	// meanWorkWeight is the weight of the latest response in the mean work of a service.
 	meanWorkWeight = 0.05
 	// maxMeanRatio bounds the weight of a single response in the mean.
@@ -170,12 +170,12 @@
 	t, rank := w.targets[index], w.usable
 	w.indices[rank] = index
 	w.usable++
-	state := p.stateOf(w.now, t)
+	state := p.stateOf(w.now, t, rank)
 	region := w.service.regionIndex(t.region)
 	c := completion.Candidate{
 		Index: rank, Region: region, Slots: t.Slots, Requests: state.requests, Variance: state.variance, Factor: state.factor,
 		Warmth: w.warmthAt(t, rank+tried), Delay: w.delayTo(p.HomeRegion, t, region),
-		Doubtful: (t.failureRatio > 0 && t.failing(w.now)) || p.slow(w.now, t), Over: max(0, state.requests+1-state.limit),
+		Doubtful: (t.failureRatio > 0 && t.failing(w.now)) || p.slow(w.now, t), Over: state.over(),
 	}
 	if !t.allowsAnother(w.now) {
 		c.Over = max(c.Over, 1)
@@ -264,6 +264,7 @@
 	if !estimate.Known() {
 		return
 	}
+	t.capacity.Ran(now, time.Duration(float64(work)*factor), estimate.Nearest(work))
 	s.warmth.Add(r.RankingPosition, estimate.IsWarm(work))
 	if s.mean == 0 {
 		s.mean = estimate.Warm
