Limit the proof of a connection to half a second, and test it on idle ones

A target that accepts connections and serves none held a request for 1 s, half the time of an order. Tests: an idle connection older than 2 s carries a request after a proof, without a new connection; a silent target is left in time.

--- a/internal/call/exchange/prove.go
+++ b/internal/call/exchange/prove.go
@@ -8,8 +8,9 @@
 	"lacewingramp.example/lacewingramp/internal/call/message"
 )
 
-// proveTimeout is how long a target has to respond to the request that proves a connection.
-const proveTimeout = time.Second
+// proveTimeout is how long a target has to respond to the request that proves a connection. It
+// leaves time for another target.
+const proveTimeout = 500 * time.Millisecond
 
 // provePrefix precedes the ID of the request in the ID of the one that proves its connection,
 // so that a repeated response to the latter is not taken for one to the request.
--- a/internal/call/exchange/prove_test.go
+++ b/internal/call/exchange/prove_test.go
@@ -111,6 +111,31 @@
 		gomega.Expect(t.proofs.Load()).To(gomega.Equal(int32(1)))
 	})
 
+	// Guards against new connections, which count against the limit of a target, while there is an
+	// idle one that is too old to be trusted without a proof.
+	ginkgo.It("makes a connection usable that has been idle for long", func(ctx context.Context) {
+		t := startCapped(1, 0)
+		gomega.Expect(c.Do(ctx, t.proven("1")).Verdict).To(gomega.Equal(lacewingramp.Ran))
+		time.Sleep(2100 * time.Millisecond)
+		gomega.Expect(c.Do(ctx, t.proven("2")).Verdict).To(gomega.Equal(lacewingramp.Ran))
+		gomega.Expect(t.dials.Load()).To(gomega.Equal(int32(1)))
+		gomega.Expect(t.proofs.Load()).To(gomega.Equal(int32(2)))
+	})
+
+	// Guards against a request that waits for its deadline at a target that accepts connections and
+	// serves none of them, and that is in doubt then.
+	ginkgo.It("ends in time if the target is silent", func(ctx context.Context) {
+		s := startTarget("silence")
+		req := s.targetRequest("1", true)
+		req.Prove = &message.Request{Method: http.MethodGet, URI: "/health", Host: "h"}
+		ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+		defer cancel()
+		r := c.Do(ctx, req)
+		gomega.Expect(ctx.Err()).NotTo(gomega.HaveOccurred())
+		gomega.Expect(r.Verdict).To(gomega.Equal(lacewingramp.NotRun))
+		gomega.Expect(r.ConnectionRefused).To(gomega.BeTrue())
+	})
+
 	// Guards against a refusal of a request that was written and may have run.
 	ginkgo.It("leaves a request in doubt whose connection fails after the proof", func(ctx context.Context) {
 		s := startTarget("HTTP/1.1 200 OK\r\nId: prove-1\r\nContent-Length: 0\r\n\r\n", "")
