--- a/internal/limit/admission/level.go
+++ b/internal/limit/admission/level.go
@@ -8,6 +8,10 @@
 // minWeight is the minimum weight of a customer.
 const minWeight = 0.01
 
+// maxIdleCustomers is the number of customers above which those without waiting requests are
+// forgotten.
+const maxIdleCustomers = 32
+
 // level holds the waiting requests of one class, of callers that have returned or of new ones. The
 // next request is that of the customer with the smallest virtual finish time, which increases by
 // 1/weight with each request that gets room. A customer that had no waiting requests starts
@@ -51,8 +55,8 @@
 	l.count++
 }
 
-// remove removes a request, and its customer if that has no other. A customer whose requests
-// got room before keeps its virtual finish time while it is ahead of the others.
+// remove removes a request. A customer that has no other stays, with its virtual finish time, unless
+// there are too many.
 func (l *level) remove(w *Waiter) {
 	for i, c := range l.customers {
 		if c.name != w.Customer {
@@ -64,12 +68,9 @@
 		}
 		c.waiters = slices.Delete(c.waiters, k, k+1)
 		l.count--
-		if len(c.waiters) == 0 && c.virtualFinish <= l.virtualTime {
+		if len(c.waiters) == 0 && len(l.customers) > maxIdleCustomers {
 			l.customers = slices.Delete(l.customers, i, i+1)
 		}
-		if l.count == 0 {
-			l.customers = l.customers[:0]
-		}
 		return
 	}
 }
