Treat a response without a final status as invalid

Cause: net/http accepts any status of three digits. A response of a target with status 000, 099 or 101 was skipped like an interim one (the request then waited until its deadline), and one with 600 or 999 reached the caller as an answer; on the path of entry (internal/call/attempt) all of them did.

Change: a status that is neither interim nor from 200 to 599 is a FormatError, so that the request counts as one that may have run and the connection is closed. The status is checked before the headers, so that such a response cannot say that the request has not run. 101 counts as invalid, as no forwarded request asks for another protocol.

--- a/internal/call/attempt/attempt.go
+++ b/internal/call/attempt/attempt.go
@@ -98,8 +98,8 @@
 // request.
 func (c *Caller) Do(ctx context.Context, t lacewingramp.Target, r *lacewingramp.ForwardRequest, idempotent bool) (Result, error) {
 	c.setup()
-	var wrote atomic.Bool
-	req, err := newRequest(ctx, t, r, &wrote)
+	var trace requestTrace
+	req, err := newRequest(ctx, t, r, &trace)
 	if err != nil {
 		return Result{Outcome: slot.OutcomeAborted}, lacewingramp.NewRefusal(lacewingramp.CauseRoute, err.Error())
 	}
@@ -109,15 +109,32 @@
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		return transportFailure(ctx, err, wrote.Load())
+		return transportFailure(ctx, err, trace.wrote.Load())
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if !message.IsFinalStatus(resp.StatusCode) {
+		trace.closeConnection()
+		return Result{Outcome: slot.OutcomeFailed}, mayHaveRun(lacewingramp.CauseTarget, "the answer has no final status")
+	}
 	return c.readResponse(ctx, resp, t, r)
 }
 
-func newRequest(ctx context.Context, t lacewingramp.Target, r *lacewingramp.ForwardRequest, wrote *atomic.Bool) (*http.Request, error) {
+// requestTrace records the connection of a request, and whether its headers were written.
+type requestTrace struct {
+	wrote atomic.Bool
+	conn  atomic.Pointer[net.Conn]
+}
+
+func (t *requestTrace) closeConnection() {
+	if conn := t.conn.Load(); conn != nil {
+		_ = (*conn).Close()
+	}
+}
+
+func newRequest(ctx context.Context, t lacewingramp.Target, r *lacewingramp.ForwardRequest, trace *requestTrace) (*http.Request, error) {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteHeaders: func() { wrote.Store(true) },
+		GotConn:      func(i httptrace.GotConnInfo) { trace.conn.Store(&i.Conn) },
+		WroteHeaders: func() { trace.wrote.Store(true) },
 	})
 	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+t.Address+r.URI, bytes.NewReader(r.Body))
 	if err != nil {
--- a/internal/call/message/message.go
+++ b/internal/call/message/message.go
@@ -40,7 +40,9 @@
 	maxResponseLines = 128
 	// MaxResponseBody is the maximum size of a response body.
 	MaxResponseBody = 16 << 20
-	bufferSize      = 4 << 10
+	// maxStatus is the highest status of HTTP.
+	maxStatus  = 599
+	bufferSize = 4 << 10
 	// headerSlack is how much more than the header bound may be read of a request
 	// before its header is complete: the reader fills whole buffers, which can
 	// hold a part of the body. The exact size is checked afterwards.
@@ -241,9 +243,12 @@
 		if err != nil {
 			return nil, r.responseError(err)
 		}
-		if resp.StatusCode < http.StatusOK {
+		if isInterim(resp.StatusCode) {
 			continue
 		}
+		if !IsFinalStatus(resp.StatusCode) {
+			return nil, &FormatError{Status: http.StatusBadGateway, Detail: fmt.Sprintf("status %03d is no final status", resp.StatusCode)}
+		}
 		r.limit.remaining = -1
 		response, err := r.readResponse(resp)
 		if err != nil {
@@ -253,6 +258,18 @@
 	}
 }
 
+// isInterim reports whether another response follows one with the given status. After 101
+// no HTTP response follows, and no forwarded request asks for another protocol.
+func isInterim(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
+// IsFinalStatus reports whether a status may end an exchange: net/http also accepts responses
+// with a status such as 000 or 999.
+func IsFinalStatus(status int) bool {
+	return status >= http.StatusOK && status <= maxStatus
+}
+
 // responseError returns an error as it is if the connection has failed, and any other
 // as a FormatError.
 func (r *Reader) responseError(err error) error {
