Release a request's body once it has been handled, and test the bounds of callers

Cause: the body was kept until the response had been sent, which may take 10 s with a slow reader, or longer behind earlier responses of the connection.

Change: the memory is given back when the handler returns.

--- a/internal/call/caller/caller.go
+++ b/internal/call/caller/caller.go
@@ -43,8 +43,8 @@
 )
 
 // Handler returns the response to a request whose first byte arrived at
-// receivedAt. It is released once it has been sent. A nil response closes the
-// connection. ctx is cancelled when the caller disconnects.
+// receivedAt. The request is released once the Handler has returned, and the response once
+// it has been sent. A nil response closes the connection. ctx is cancelled when the caller disconnects.
 type Handler func(ctx context.Context, r *message.Request, receivedAt time.Time) *message.Response
 
 // Server serves callers' connections. Its fields must be set before Serve.
@@ -252,7 +252,7 @@
 // requests.
 func (c *connection) handle(ctx context.Context, r *message.Request, receivedAt time.Time, previousSent <-chan struct{}) {
 	resp := c.server.Handle(ctx, r, receivedAt)
-	defer r.Release()
+	r.Release()
 	defer resp.Release()
 	<-previousSent
 	c.mu.Lock()
--- /dev/null
+++ b/internal/call/caller/limit_test.go
@@ -0,0 +1,111 @@
+package caller_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/call/caller"
+	"lacewingramp.example/lacewingramp/internal/call/message"
+)
+
+var _ = ginkgo.Describe("a server of callers", func() {
+	serve := func(s *caller.Server) (dial func() net.Conn) {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		ginkgo.DeferCleanup(l.Close)
+		go func() { _ = s.Serve(l) }()
+		return func() net.Conn {
+			c, err := net.Dial("tcp4", l.Addr().String())
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			ginkgo.DeferCleanup(c.Close)
+			_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+			return c
+		}
+	}
+
+	// Guards against callers that take all descriptors, and against a bound that cuts
+	// requests which are being handled.
+	ginkgo.It("replaces the longest idle connection beyond its maximum, and none with a request in progress", func() {
+		const maxConnections = 4
+		release := make(chan struct{})
+		s := &caller.Server{Bounds: bounds, MaxConnections: maxConnections, Handle: func(_ context.Context, r *message.Request, _ time.Time) *message.Response {
+			if r.URI == "/busy" {
+				<-release
+			}
+			return response(r.URI)
+		}}
+		dial := serve(s)
+		busy := dial()
+		sendRequests(busy, "/busy")
+		idle := dial()
+		gomega.Eventually(s.OpenConnections).Should(gomega.Equal(2))
+		time.Sleep(20 * time.Millisecond)
+		for range maxConnections - 2 {
+			_, _ = io.WriteString(dial(), "GET /stalled HTTP/1.1\r\n")
+		}
+		gomega.Eventually(s.OpenConnections).Should(gomega.Equal(maxConnections))
+		time.Sleep(600 * time.Millisecond)
+		c := dial()
+		sendRequests(c, "/new")
+		got, _ := readBody(bufio.NewReader(c))
+		gomega.Expect(got).To(gomega.Equal("/new"))
+		_, err := idle.Read(make([]byte, 1))
+		gomega.Expect(err).To(gomega.MatchError(io.EOF))
+		gomega.Expect(s.OpenConnections()).To(gomega.Equal(maxConnections))
+		close(release)
+		got, _ = readBody(bufio.NewReader(busy))
+		gomega.Expect(got).To(gomega.Equal("/busy"))
+	})
+
+	// Guards against a request that is held in memory after its end, and against a refusal
+	// that does not say when to return.
+	ginkgo.It("refuses a body for which there is no memory, and serves again when there is", func() {
+		const bodySize = 2 << 20
+		handling, release := make(chan struct{}, 1), make(chan struct{})
+		s := &caller.Server{
+			Requests: message.NewRequestBudget(8 << 20),
+			Bounds: func() lacewingramp.Bounds {
+				b := bounds()
+				b.Body = bodySize
+				return b
+			},
+			Handle: func(_ context.Context, _ *message.Request, _ time.Time) *message.Response {
+				handling <- struct{}{}
+				<-release
+				return response("")
+			},
+			SetRetryAfter: func(h http.Header) { h.Set("Retry-After", "1") },
+		}
+		dial := serve(s)
+		send := func() net.Conn {
+			c := dial()
+			go func() {
+				_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2097152\r\n\r\n"+strings.Repeat("x", bodySize))
+			}()
+			return c
+		}
+		first := send()
+		<-handling
+		resp, err := http.ReadResponse(bufio.NewReader(send()), nil)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		_ = resp.Body.Close()
+		gomega.Expect(resp.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+		gomega.Expect(resp.Header.Get("Retry-After")).To(gomega.Equal("1"))
+		close(release)
+		_, _ = readBody(bufio.NewReader(first))
+		for range 3 {
+			c := send()
+			<-handling
+			_, _ = readBody(bufio.NewReader(c))
+		}
+	})
+})
