--- a/internal/call/message/message.go
+++ b/internal/call/message/message.go
@@ -22,7 +22,6 @@
 	"io"
 	"math"
 	"net/http"
-	"net/textproto"
 	"os"
 	"strconv"
 	"strings"
@@ -40,7 +39,9 @@
 	maxResponseLines = 128
 	// MaxResponseBody is the maximum size of a response body.
 	MaxResponseBody = 16 << 20
-	bufferSize      = 4 << 10
+	// maxStatus is the highest status of HTTP.
+	maxStatus  = 599
+	bufferSize = 4 << 10
 	// headerSlack is how much more than the header bound may be read of a request
 	// before its header is complete: the reader fills whole buffers, which can
 	// hold a part of the body. The exact size is checked afterwards.
@@ -59,7 +60,8 @@
 	return fmt.Sprintf("invalid HTTP message: %s", e.Detail)
 }
 
-// Request is one request of a caller with its complete body.
+// Request is one request of a caller with its complete body. Release has to be called when one
+// that was read is no longer needed.
 type Request struct {
 	Method string
 	// URI is the path and query as sent by the caller.
@@ -71,6 +73,16 @@
 	// Close says that the caller asked for the connection to be closed after the
 	// response.
 	Close bool
+
+	body *requestBody
+}
+
+// Release gives the memory of the body back to the budget from which it was taken. Nothing may
+// use Body any longer. It may be called more than once.
+func (r *Request) Release() {
+	r.Body = nil
+	r.body.release()
+	r.body = nil
 }
 
 // Response is one complete response. Release has to be called when one that was read is no
@@ -102,6 +114,10 @@
 	*bufio.Reader
 	// Budget bounds the memory of response bodies.
 	Budget *Budget
+	// Requests bounds the memory of request bodies, nil for no bound. Cut, which has to be
+	// set with it, ends a read of the connection that is waiting for bytes.
+	Requests *RequestBudget
+	Cut      func()
 
 	limit *limitReader
 }
@@ -113,8 +129,9 @@
 }
 
 var (
-	errHeaderSize       = errors.New("header too large")
-	errBodySize   error = &FormatError{Status: http.StatusBadGateway, Detail: "response body too large"}
+	errHeaderSize        = errors.New("header too large")
+	errBodySize    error = &FormatError{Status: http.StatusBadGateway, Detail: "response body too large"}
+	errRequestSize error = &FormatError{Status: http.StatusRequestEntityTooLarge, Detail: "request body too large"}
 )
 
 // limitReader fails after the remaining bytes have been read, or a buffer that holds the
@@ -172,13 +189,13 @@
 			return nil, err
 		}
 	}
-	body, err := requestBody(req, bounds)
+	body, err := r.requestBody(req, bounds)
 	if err != nil {
 		return nil, err
 	}
 	return &Request{
 		Method: req.Method, URI: req.RequestURI, Host: req.Host, Path: req.URL.EscapedPath(),
-		Header: req.Header, Body: body, Close: req.Close,
+		Header: req.Header, Body: body.buf, Close: req.Close, body: body,
 	}, nil
 }
 
@@ -189,11 +206,14 @@
 	if req.Host == "" || !strings.HasPrefix(req.RequestURI, "/") {
 		return &FormatError{Status: http.StatusBadRequest, Detail: "the Host header or an absolute path is missing"}
 	}
+	if name, ok := invalidField(req.Header); ok {
+		return &FormatError{Status: http.StatusBadRequest, Detail: fmt.Sprintf("invalid header field %.40q", name)}
+	}
 	if headerSize(req) > bounds.Header {
 		return &FormatError{Status: http.StatusRequestHeaderFieldsTooLarge, Detail: "request header too large"}
 	}
 	if req.ContentLength > bounds.Body {
-		return &FormatError{Status: http.StatusRequestEntityTooLarge, Detail: "request body too large"}
+		return errRequestSize
 	}
 	return nil
 }
@@ -208,20 +228,6 @@
 	return int64(n)
 }
 
-func requestBody(req *http.Request, bounds lacewingramp.Bounds) ([]byte, error) {
-	if req.Body == nil || req.Body == http.NoBody {
-		return nil, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(req.Body, bounds.Body+1))
-	if err != nil {
-		return nil, requestError(err)
-	}
-	if int64(len(body)) > bounds.Body {
-		return nil, &FormatError{Status: http.StatusRequestEntityTooLarge, Detail: "request body too large"}
-	}
-	return body, nil
-}
-
 // requestError returns errors of the connection as they are, and any other as a
 // FormatError.
 func requestError(err error) error {
@@ -242,9 +248,12 @@
 		if err != nil {
 			return nil, r.responseError(err)
 		}
-		if resp.StatusCode < http.StatusOK {
+		if isInterim(resp.StatusCode) {
 			continue
 		}
+		if !IsFinalStatus(resp.StatusCode) {
+			return nil, &FormatError{Status: http.StatusBadGateway, Detail: fmt.Sprintf("status %03d is no final status", resp.StatusCode)}
+		}
 		r.limit.remaining = -1
 		response, err := r.readResponse(resp)
 		if err != nil {
@@ -254,6 +263,18 @@
 	}
 }
 
+// isInterim reports whether another response follows one with the given status. After 101
+// no HTTP response follows, and no forwarded request asks for another protocol.
+func isInterim(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
+// IsFinalStatus reports whether a status may end an exchange: net/http also accepts responses
+// with a status such as 000 or 999.
+func IsFinalStatus(status int) bool {
+	return status >= http.StatusOK && status <= maxStatus
+}
+
 // responseError returns an error as it is if the connection has failed, and any other
 // as a FormatError.
 func (r *Reader) responseError(err error) error {
@@ -286,28 +307,13 @@
 	return response, nil
 }
 
-// hopByHopHeaders apply to one connection only and are not forwarded. Content-Length
-// is among them, as it is written anew.
-var hopByHopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
-}
-
-// RemoveHopByHopHeaders removes the hop-by-hop headers, including those that the
-// Connection header lists.
-func RemoveHopByHopHeaders(h http.Header) {
-	for _, line := range h["Connection"] {
-		for name := range strings.SplitSeq(line, ",") {
-			h.Del(textproto.TrimString(name))
-		}
-	}
-	for _, name := range hopByHopHeaders {
-		h.Del(name)
-	}
-}
-
 // AppendRequest appends a request in wire format, with h in place of its own header.
 func AppendRequest(b []byte, req *Request, h http.Header) []byte {
+	return append(AppendRequestHead(b, req, h), req.Body...)
+}
+
+// AppendRequestHead appends what comes before the body of a request.
+func AppendRequestHead(b []byte, req *Request, h http.Header) []byte {
 	b = append(b, req.Method...)
 	b = append(b, ' ')
 	b = append(b, req.URI...)
@@ -318,8 +324,7 @@
 	if len(req.Body) > 0 || (req.Method != http.MethodGet && req.Method != http.MethodHead) {
 		b = appendLength(b, len(req.Body))
 	}
-	b = append(b, "\r\n"...)
-	return append(b, req.Body...)
+	return append(b, "\r\n"...)
 }
 
 // AppendResponse appends, in wire format, a response to a request with the given
