--- a/internal/entry/edge/edge_prove.go
+++ b/internal/entry/edge/edge_prove.go
@@ -32,11 +32,7 @@
 // doubt whether it has run, which matters if it is not idempotent, and if all targets so far
 // have refused it and it can still be refused to the caller.
 func (e *Edge) proof(j *job, t *lacewingramp.Target) *message.Request {
-	if j.route.Idempotent && j.mayHaveRun {
-		return nil
-	}
-	doubtful := !j.route.Idempotent && e.mayBeFull(t)
-	if j.attempts == 0 && !doubtful && !e.resetRecently(j.service) {
+	if j.route.Idempotent && (j.mayHaveRun || (j.attempts == 0 && !e.resetRecently(j.service))) {
 		return nil
 	}
 	path := e.healthPath(t.Service)
@@ -46,15 +42,6 @@
 	return &message.Request{Method: http.MethodGet, URI: path, Host: t.Address}
 }
 
-// mayBeFull reports whether a target may have no free slot. A target accepts fewer connections
-// while requests wait there.
-func (e *Edge) mayBeFull(t *lacewingramp.Target) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	estimate, ok := e.placer.Estimate(e.Timer.Now(), t.Name)
-	return !ok || estimate.ReportAge == 0 || estimate.Requests > float64(t.Slots)
-}
-
 // loadAware reports whether a service is load-aware.
 func (e *Edge) loadAware(service string) bool {
 	e.mu.Lock()
