Order requests of one customer class by the class of their route

Cause: all customers of a deployment usually have the same class, so that the class of routes, which says that a lookup is more urgent than an audit, was never looked at. Change: the queue's class is that of the customer and, among equal ones, of the route.

--- a/internal/entry/edge/edge_admission.go
+++ b/internal/entry/edge/edge_admission.go
@@ -51,13 +51,22 @@
 		Ints("waiting", r.waiting[:]).Floats64("admitted", r.admitted[:])
 }
 
-// class returns the priority class of a request: that of its customer, which always has one, or
-// else that of its route.
+// routeClasses is the number of priority classes of routes that are told apart, and
+// customerClasses that of customers.
+const (
+	routeClasses    = 3
+	customerClasses = admission.Classes / routeClasses
+)
+
+// class returns the class of a request in the queue: by the priority class of its customer, and
+// among requests of one customer class by that of its route. A request without a customer counts
+// as one of the highest customer class.
 func (j *job) class() int {
+	customer := 0
 	if j.customer != nil {
-		return j.customer.PriorityClass
+		customer = min(max(j.customer.PriorityClass, 0), customerClasses-1)
 	}
-	return j.route.PriorityClass
+	return customer*routeClasses + min(max(j.route.PriorityClass, 0), routeClasses-1)
 }
 
 // callerUntil returns until when the caller waits for the response.
--- a/internal/limit/admission/admission.go
+++ b/internal/limit/admission/admission.go
@@ -35,7 +35,7 @@
 const (
 	// Classes is the number of priority classes that are told apart. Those beyond count as
 	// the last one.
-	Classes = 4
+	Classes = 9
 	// maxWaiting and maxBytes limit the number of waiting requests and the size of their
 	// bodies.
 	maxWaiting = 128
