--- a/internal/entry/edge/edge_prove.go
+++ b/internal/entry/edge/edge_prove.go
@@ -29,10 +29,15 @@
 
 // proof returns the request that proves a connection to a target before a request is written on
 // it, nil for none. A connection that is reset after the request was written leaves in
-// doubt whether it has run, which matters if it is not idempotent, and if all targets so far
-// have refused it and it can still be refused to the caller.
+// doubt whether it has run. A proof takes a round trip and a slot, so there is one only while resets
+// have to be expected: a target of the service has recently closed a new connection, all targets
+// so far have refused the request, or it is not idempotent and the target may be full.
 func (e *Edge) proof(j *job, t *lacewingramp.Target) *message.Request {
-	if j.route.Idempotent && (j.mayHaveRun || (j.attempts == 0 && !e.resetRecently(j.service))) {
+	if j.route.Idempotent && j.mayHaveRun {
+		return nil
+	}
+	expected := j.attempts > 0 || e.resetRecently(j.service) || (!j.route.Idempotent && e.mayBeFull(t))
+	if !expected {
 		return nil
 	}
 	path := e.healthPath(t.Service)
@@ -42,6 +47,15 @@
 	return &message.Request{Method: http.MethodGet, URI: path, Host: t.Address}
 }
 
+// mayBeFull reports whether all slots of a target may be occupied, as far as is known. A target
+// accepts fewer connections while requests wait there.
+func (e *Edge) mayBeFull(t *lacewingramp.Target) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	estimate, ok := e.placer.Estimate(e.Timer.Now(), t.Name)
+	return !ok || !estimate.Reported || estimate.Requests > float64(t.Slots)
+}
+
 // loadAware reports whether a service is load-aware.
 func (e *Edge) loadAware(service string) bool {
 	e.mu.Lock()
--- a/internal/steer/placement/placement_capacity.go
+++ b/internal/steer/placement/placement_capacity.go
@@ -169,8 +169,9 @@
 }
 
 // Estimate is what is estimated of a target, for logs and tests. ReportAge is the age of the latest
-// report, 0 if there is none.
+// report, and Reported is false if there is none.
 type Estimate struct {
+	Reported   bool
 	Requests   float64
 	WorkFactor float64
 	Limit      float64
@@ -184,7 +185,7 @@
 		return e, false
 	}
 	e = Estimate{Requests: t.capacity.Requests(now), WorkFactor: t.capacity.WorkFactor(now), Limit: t.capacity.Limit(now, t.Slots)}
-	e.ReportAge, _ = t.capacity.ReportAge(now)
+	e.ReportAge, e.Reported = t.capacity.ReportAge(now)
 	return e, true
 }
 
