--- a/heartbeat.go
+++ b/heartbeat.go
@@ -36,6 +36,9 @@
 	LeavingTargets []LeavingTarget `cbor:"15,keyasint,omitempty"`
 	// SlowTargets is a selection if there are too many for one datagram.
 	SlowTargets []SlowTarget `cbor:"16,keyasint,omitempty"`
+	// UsageDuty is set if the instance holds the duty of usage reports. 17 is reserved for the
+	// loads that targets report.
+	UsageDuty *UsageDuty `cbor:"18,keyasint,omitempty"`
 }
 
 // Position returns the position in the store's history up to which the instance has read.
--- a/token.go
+++ b/token.go
@@ -73,17 +73,24 @@
 }
 
 // Datagram is a message that instances exchange over UDP. Exactly one field is
-// set.
+// set, except that UsageCounts come with the Heartbeat of their sender. Earlier versions of the
+// program ignore the UsageCounts.
 type Datagram struct {
 	Heartbeat    *Heartbeat    `cbor:"1,keyasint,omitempty"`
 	TokenRequest *TokenRequest `cbor:"2,keyasint,omitempty"`
 	TokenReply   *TokenReply   `cbor:"3,keyasint,omitempty"`
 
 	TargetTokenRequest *TargetTokenRequest `cbor:"4,keyasint,omitempty"`
+	UsageCounts        *UsageCounts        `cbor:"5,keyasint,omitempty"`
 }
 
 // Check returns an error for a datagram that no instance sends.
 func (d *Datagram) Check() error {
+	if d.UsageCounts != nil {
+		if err := d.UsageCounts.Check(); err != nil {
+			return err
+		}
+	}
 	switch {
 	case d.Heartbeat != nil:
 		return d.Heartbeat.Check()
