--- a/store.go
+++ b/store.go
@@ -26,7 +26,7 @@
 //
 // Revision is the store's revision of the last write to the key. It is 0 if the key
 // does not exist. Epoch is that of the Position at which the key was read, and is only
-// set by a ChangeFeed.
+// set by a ChangeFeed and by the platform's store.
 type KeyValue struct {
 	Key      string
 	Value    []byte
