Report usage from one instance of the fleet

Cause: the platform needs the number of requests of each customer for each window, exactly once. Change: where the settings ask for it, instances send their counts to the holder of the duty and its stand-by; the holder stores each report by compare-and-swap and sends what is stored. Metrics lacewingramp_usage_windows_total and lacewingramp_usage_lease_age_seconds.

--- a/internal/call/exchange/exchange.go
+++ b/internal/call/exchange/exchange.go
@@ -92,6 +92,8 @@
 	Unreachable      bool
 	NotAllowed       bool
 	ConnectionOpened bool
+	// Connecting is how long it took to open the connection, 0 if it was open before.
+	Connecting time.Duration
 }
 
 // Client sends requests over a pool of connections to targets. It is safe for
@@ -109,7 +111,9 @@
 // Do sends the request of a TargetRequest and waits for the response. If ctx is
 // cancelled, the connection is closed, which makes the target abort the request.
 func (c *Client) Do(ctx context.Context, req TargetRequest) Result {
+	startedAt := time.Now()
 	conn, opened, err := c.connection(ctx, req)
+	connecting := time.Since(startedAt)
 	if err != nil {
 		return Result{Verdict: lacewingramp.NotRun, Err: err, Unreachable: ctx.Err() == nil}
 	}
@@ -119,7 +123,9 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	result := c.exchange(conn, req)
-	result.ConnectionOpened = opened
+	if result.ConnectionOpened = opened; opened {
+		result.Connecting = connecting
+	}
 	if !stop() {
 		_ = conn.Close()
 		result.ConnectionBroken, result.ConnectionLost = false, false
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -82,6 +82,8 @@
 	Bandwidth float64
 	// Memory is the memory limit of the process in bytes, 0 if unknown.
 	Memory int64
+	// Usage is set if the instances report usage, nil if not.
+	Usage *UsageSettings
 }
 
 // Store is the part of the platform's store that an instance uses.
@@ -105,6 +107,8 @@
 	Meter           Meter
 	// Dialer opens the connections to targets. If it is nil, those of the system are used.
 	Dialer lacewingramp.Dialer
+	// Usage is set if the settings have Usage.
+	Usage *UsageDependencies
 }
 
 // Meter records the metrics of an instance.
@@ -135,6 +139,11 @@
 	// Unconfirmed records how long ago the instance's copy of the store's keys was last
 	// known to be complete.
 	Unconfirmed(age time.Duration)
+	// UsageReport counts a usage window that was sent, sent late or given up.
+	UsageReport(outcome string)
+	// UsageLeaseAge records how long ago the lease of the duty of usage reports was renewed,
+	// 0 at all instances but the holder.
+	UsageLeaseAge(age time.Duration)
 }
 
 // Edge is an instance. expired maps targets whose registration expired during a store
@@ -166,6 +175,8 @@
 
 	socket   *heartbeat.Socket
 	restored chan struct{}
+	// usage is nil if the instances do not report usage.
+	usage *usageState
 
 	mu     sync.Mutex
 	self   lacewingramp.Endpoint
@@ -240,6 +251,7 @@
 	e.probes = make(map[string]*probe)
 	e.peers = heartbeat.Peers{Self: s.Name, Region: s.Region, Regions: s.Regions}
 	e.store.interrupt = func() {}
+	e.usage = newUsage(s, d, e.self.StartMillis)
 	return e
 }
 
@@ -271,9 +283,11 @@
 	if relayListener != nil {
 		wg.Go(func() { e.logServeError(e.relayServer.Serve(relayListener), "serving relayed requests") })
 	}
+	e.runUsage(background, wg.Go)
 	stopTicks := e.Timer.Every(heartbeat.Period, func(now time.Time) { e.tick(background, now) })
 	<-ctx.Done()
 	e.stop(callerListener)
+	e.tickUsage(true)
 	stopTicks()
 	cancel()
 	_ = peerListener.Close()
--- a/internal/entry/edge/edge_events.go
+++ b/internal/entry/edge/edge_events.go
@@ -12,6 +12,9 @@
 	now := e.Timer.Now()
 	instancesChanged := false
 	for _, c := range changes {
+		if e.usageChanged(c) {
+			continue
+		}
 		event, err := e.EventDecoder.Decode(c)
 		if err != nil {
 			if e.loglimit.Allow(now, "undecodable") {
@@ -76,6 +79,7 @@
 	e.pool.Configure(now, m.Limits())
 	clear(e.poolBackoff)
 	e.routes.Store(m)
+	e.setUsageNames(event.Table)
 	if old == nil {
 		close(e.tableLoaded)
 	}
--- a/internal/entry/edge/edge_heartbeat.go
+++ b/internal/entry/edge/edge_heartbeat.go
@@ -56,6 +56,7 @@
 	if err := errors.Join(e.socket.Send(&lacewingramp.Datagram{Heartbeat: regional}, ownRegion), e.socket.Send(&lacewingramp.Datagram{Heartbeat: &interRegion}, otherRegions)); err != nil {
 		e.Log.Error().Err(err).Msg("could not send a heartbeat")
 	}
+	e.tickUsage(false)
 	e.catchUp(ctx, now)
 	e.checkStore(ctx, now)
 }
@@ -81,6 +82,7 @@
 		ReachesStore: !e.store.lost, WatchesStore: e.watches(now), CutOff: e.reach.CutOff(), RequestRate: float32(e.requestRate),
 		CrashCounts: e.poisonGuard.HeartbeatCounts(now), RolloutStats: e.rolloutStats(now), Outcomes: e.rollouts.Outcomes(now),
 		Confirmation: e.latestConfirmation(now), LeavingTargets: e.placer.LeavingTargets(now), SlowTargets: e.placer.SlowTargets(now),
+		UsageDuty: e.usageDuty(),
 	}
 }
 
@@ -103,6 +105,7 @@
 	switch {
 	case d.Heartbeat != nil:
 		e.handleHeartbeat(d.Heartbeat)
+		e.handleUsage(d)
 	case d.TokenRequest != nil:
 		e.handleTokenRequest(d.TokenRequest, from)
 	case d.TokenReply != nil:
--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -139,6 +139,7 @@
 	sentAt := e.Timer.Now()
 	reachID := e.reach.Start(sentAt)
 	e.mu.Unlock()
+	usageID := e.startUsage(j, c, sentAt)
 	h := maps.Clone(j.request.Header)
 	message.RemoveHopByHopHeaders(h)
 	e.HeaderCodec.SetTargetHeaders(h, lacewingramp.TargetHeaders{
@@ -150,6 +151,7 @@
 	})
 	j.received = append(j.received, r.Response)
 	took := e.Timer.Now().Sub(sentAt)
+	e.endUsage(usageID, c, r)
 	e.Meter.Attempt(r.Verdict, took)
 	if r.ConnectionOpened {
 		e.Meter.ConnectionOpened()
--- a/internal/entry/edge/fakes_test.go
+++ b/internal/entry/edge/fakes_test.go
@@ -313,6 +313,8 @@
 	dialers []*cutDialer
 	stops   []context.CancelFunc
 	exited  []chan struct{}
+	// usage returns the settings and dependencies of usage reports for an instance, nil for none.
+	usage func(name string) (*edge.UsageSettings, *edge.UsageDependencies)
 }
 
 // freeAddress returns an unused loopback address.
@@ -380,14 +382,19 @@
 		domain = d.domains[len(d.edges)]
 	}
 	regions := map[string]string{"a": "north", "b": "south"}
+	var usageSettings *edge.UsageSettings
+	var usageDependencies *edge.UsageDependencies
+	if d.usage != nil {
+		usageSettings, usageDependencies = d.usage(name)
+	}
 	e := edge.New(edge.Settings{
 		Name: name, Domain: domain, Region: regions[domain], Regions: regions,
 		CallerAddress: caller, Peer: freeAddress(), Relay: freeAddress(), Bootstrap: true, StopTimeout: stopTimeout, MaxLookupTTL: 5 * time.Second,
 		RetryRatio: 0.2, RetryExtra: 60, RetryWindow: 10 * time.Second, MaxCanaryFraction: 0.5,
-		Memory: d.memory,
+		Memory: d.memory, Usage: usageSettings,
 	}, edge.Dependencies{
 		Store: s, EventDecoder: codec{}, DocumentEncoder: codec{}, HeaderCodec: codec{}, Timer: wall.Timer{},
-		Log: zerolog.Nop(), Meter: meter.New(), Dialer: dialer,
+		Log: zerolog.Nop(), Meter: meter.New(), Dialer: dialer, Usage: usageDependencies,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/operator/command/cmd_serve.go
+++ b/internal/operator/command/cmd_serve.go
@@ -17,6 +17,7 @@
 
 	"lacewingramp.example/lacewingramp/internal/entry/edge"
 	"lacewingramp.example/lacewingramp/internal/report/meter"
+	"lacewingramp.example/lacewingramp/internal/timer/boot"
 	"lacewingramp.example/lacewingramp/internal/timer/wall"
 	"lacewingramp.example/lacewingramp/platform"
 )
@@ -75,14 +76,16 @@
 	if s.RelayPort > 0 {
 		relay = net.JoinHostPort(s.IP, strconv.Itoa(s.RelayPort))
 	}
+	usageSettings, usageDependencies := usageReports(s, storeClient)
 	e := edge.New(edge.Settings{
 		Name: s.Instance, Domain: s.Domain, Region: s.Region, Regions: s.Regions,
 		CallerAddress: s.CallerAddress, Peer: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), Relay: relay,
 		Bootstrap: s.Bootstrap, StopTimeout: s.StopTimeout, MaxLookupTTL: s.MaxLookupTTL, CPUs: s.CPUs, Bandwidth: s.Bandwidth, Memory: s.Memory, MaxCanaryFraction: s.MaxCanaryFraction,
 		RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryWindow: s.RetryWindow,
+		Usage: usageSettings,
 	}, edge.Dependencies{
 		Store: storeClient, EventDecoder: platform.EventDecoder{}, DocumentEncoder: platform.DocumentEncoder{}, HeaderCodec: platform.HeaderCodec{},
-		Timer: wall.Timer{}, Log: log, Meter: m,
+		Timer: wall.Timer{}, Log: log, Meter: m, Usage: usageDependencies,
 	})
 	lookupHandler := platform.LookupHandler(func(l platform.Lookup) platform.LookupResult {
 		addresses, lifetime := e.Lookup(l.Host, l.Region)
@@ -106,6 +109,19 @@
 	return e.Run(ctx)
 }
 
+// usageReports returns what usage reports need, nil if the settings do not ask for them.
+func usageReports(s *platform.Settings, store *platform.Store) (*edge.UsageSettings, *edge.UsageDependencies) {
+	if s.Usage == nil {
+		return nil, nil
+	}
+	settings := &edge.UsageSettings{
+		Window: s.Usage.Window, MaxDelay: s.Usage.MaxDelay, Lease: s.Usage.Lease, CallsPerSecond: s.Usage.CallsPerSecond,
+	}
+	return settings, &edge.UsageDependencies{
+		Store: store, Platform: &platform.UsageReports{Address: s.Usage.Address, Instance: s.Instance}, Now: boot.New().Now,
+	}
+}
+
 // httpListener is an address and the handler that serves it.
 type httpListener struct {
 	address string
--- a/internal/report/meter/meter.go
+++ b/internal/report/meter/meter.go
@@ -99,6 +99,17 @@
 	m.unconfirmed.Set(age.Seconds())
 }
 
+// UsageReport counts a usage window that was sent, sent late or given up.
+func (m *Meter) UsageReport(outcome string) {
+	m.set.GetOrCreateCounter(`lacewingramp_usage_windows_total{outcome="` + outcome + `"}`).Inc()
+}
+
+// UsageLeaseAge records how long ago the lease of the duty of usage reports was renewed, 0 at all
+// instances but the holder.
+func (m *Meter) UsageLeaseAge(age time.Duration) {
+	m.set.GetOrCreateGauge("lacewingramp_usage_lease_age_seconds", nil).Set(age.Seconds())
+}
+
 // LogLinesDropped counts log lines that were lost because the log buffer was full.
 func (m *Meter) LogLinesDropped(n int) {
 	m.droppedLines.Add(n)
