--- a/internal/entry/edge/edge_usage.go
+++ b/internal/entry/edge/edge_usage.go
@@ -232,6 +232,12 @@
 		}
 		return true
 	}
+	if c.Key == lacewingramp.KeyUsageEpoch {
+		if r, err := decodeEpoch(c.Value); err == nil {
+			u.holder.LearnEpochFrom(r.Epoch, time.UnixMilli(r.FromMillis))
+		}
+		return true
+	}
 	id, r, err := decodeReport(&c.KeyValue)
 	if err == nil && duty.Epoch(r.Token) == c.Epoch {
 		u.reports.Learn(id, r.Body)
--- a/internal/entry/edge/edge_usage_report.go
+++ b/internal/entry/edge/edge_usage_report.go
@@ -55,6 +55,19 @@
 	return id, r, err
 }
 
+// epochRecord is the value of KeyUsageEpoch. It tells instances that start later which windows no
+// holder of an earlier epoch may have reported.
+type epochRecord struct {
+	Epoch      int64 `json:"epoch"`
+	FromMillis int64 `json:"from"`
+}
+
+func decodeEpoch(value []byte) (epochRecord, error) {
+	var r epochRecord
+	err := json.Unmarshal(value, &r)
+	return r, err
+}
+
 // work is what the holder does next: the report of a window, with its body if that is known to be
 // stored.
 type work struct {
@@ -314,9 +327,33 @@
 	}
 }
 
+// recordEpoch writes KeyUsageEpoch unless the store has it for the present epoch.
+func (e *Edge) recordEpoch(ctx context.Context) {
+	u := e.usage
+	kv, err := e.readKey(ctx, lacewingramp.KeyUsageEpoch)
+	if err != nil {
+		return
+	}
+	known, err := decodeEpoch(kv.Value)
+	u.mu.Lock()
+	own := epochRecord{Epoch: u.holder.SeenEpoch(), FromMillis: u.holder.EpochFrom().UnixMilli() + 1}
+	u.mu.Unlock()
+	if own.Epoch == 0 || (err == nil && known.Epoch >= own.Epoch) {
+		return
+	}
+	value, err := json.Marshal(own)
+	if err != nil {
+		return
+	}
+	_, _ = withTimeout(ctx, usageStoreTimeout, func(ctx context.Context) (lacewingramp.Position, error) {
+		return u.Store.CompareAndSwapInEpoch(ctx, lacewingramp.KeyUsageEpoch, value, kv.Revision, 0)
+	})
+}
+
 // listOldReports lists the reports in the store that are to be deleted once they are old.
 func (e *Edge) listOldReports() {
 	u := e.usage
+	e.recordEpoch(context.Background())
 	all, err := withTimeout(context.Background(), listTimeout, func(ctx context.Context) ([]lacewingramp.KeyValue, error) {
 		return u.Store.Range(ctx, lacewingramp.KeyUsageReports)
 	})
--- a/internal/peer/duty/duty.go
+++ b/internal/peer/duty/duty.go
@@ -79,7 +79,9 @@
 	position   lacewingramp.Position
 	renewedAt  time.Time
 	quietUntil time.Time
-	// clearFrom is the time from which on no holder of an earlier epoch has acted.
+	// epochFrom is the time from which on no holder of an earlier epoch has acted, and clearFrom that
+	// from which on nobody but this instance may have.
+	epochFrom time.Time
 	clearFrom time.Time
 }
 
@@ -134,11 +136,11 @@
 	if h.epoch == 0 {
 		first = h.StartedAt
 	}
-	clearFrom := first.Add(h.Lease)
+	h.epochFrom = first.Add(h.Lease + maxClockError)
+	clearFrom := h.epochFrom
 	if h.state == StateQuiet || h.state == StateHolding {
-		clearFrom = h.quietUntil
+		clearFrom = h.quietUntil.Add(maxClockError)
 	}
-	clearFrom = clearFrom.Add(maxClockError)
 	if h.clearFrom.Before(clearFrom) {
 		h.clearFrom = clearFrom
 	}
@@ -150,6 +152,23 @@
 	return h.clearFrom
 }
 
+// EpochFrom returns the time from which on no holder of an earlier epoch than SeenEpoch has acted.
+func (h *Holder) EpochFrom() time.Time {
+	return h.epochFrom
+}
+
+// LearnEpochFrom takes over the EpochFrom of another instance that has seen an epoch earlier, from
+// the store.
+func (h *Holder) LearnEpochFrom(epoch int64, from time.Time) {
+	if epoch != h.epoch || !from.Before(h.epochFrom) {
+		return
+	}
+	h.epochFrom = from
+	if from.Before(h.clearFrom) {
+		h.clearFrom = from
+	}
+}
+
 // SeenEpoch returns the highest epoch that was seen.
 func (h *Holder) SeenEpoch() int64 {
 	return h.epoch
--- a/internal/peer/duty/duty_test.go
+++ b/internal/peer/duty/duty_test.go
@@ -124,6 +124,14 @@
 		h.ObserveEpoch(at, 2)
 		gomega.Expect(h.ClearFrom()).To(gomega.BeTemporally("~", acted, 2*time.Second))
 
+		started := newHolder()
+		started.StartedAt = at.Add(time.Hour)
+		started.ObserveEpoch(at.Add(time.Hour), 2)
+		started.LearnEpochFrom(1, start)
+		gomega.Expect(started.ClearFrom()).To(gomega.BeTemporally(">", at.Add(time.Hour)), "it is of another epoch")
+		started.LearnEpochFrom(2, other.EpochFrom())
+		gomega.Expect(started.ClearFrom()).To(gomega.Equal(other.EpochFrom()))
+
 		late := newHolder()
 		acquire(late, start.Add(10*time.Second), lacewingramp.Position{Epoch: 1, Revision: 9})
 		late.ObserveEpoch(at, 2)
--- a/internal/report/meter/meter_test.go
+++ b/internal/report/meter/meter_test.go
@@ -26,6 +26,8 @@
 		m.StoreCheck(true)
 		m.Unconfirmed(time.Second)
 		m.Relayed(lacewingramp.RelayResponded)
+		m.UsageReport("sent")
+		m.UsageLeaseAge(time.Second)
 		w := httptest.NewRecorder()
 		m.ServeHTTP(w, nil)
 		page, err := os.ReadFile("../../../docs/METRICS.md")
--- a/internal/report/usage/reports.go
+++ b/internal/report/usage/reports.go
@@ -21,8 +21,10 @@
 	stored   bool
 	storedIn int64
 	done     bool
-	backoff  time.Duration
-	retryAt  time.Time
+	// failed says that this instance could not store or send it before.
+	failed  bool
+	backoff time.Duration
+	retryAt time.Time
 }
 
 // Reports keeps track of the reports of the last windows. The body of a report never changes once
@@ -106,7 +108,7 @@
 // Failed records that a report could not be stored or sent, and delays the next attempt.
 func (r *Reports) Failed(now time.Time, id int64) {
 	p := r.get(id)
-	p.retryAt = now.Add(p.backoff)
+	p.failed, p.retryAt = true, now.Add(p.backoff)
 	p.backoff = min(maxBackoff, 2*p.backoff)
 }
 
@@ -121,17 +123,19 @@
 }
 
 // Overdue returns the windows that ended after a time, were not reported, and no longer can be. It
-// returns each once.
+// returns each once. Those that the store has and that this instance never tried to send were
+// reported by an earlier holder, as far as is known.
 func (r *Reports) Overdue(now, since time.Time) (ids []int64) {
 	for id := WindowOf(now.Add(-r.Late), r.Window) - 2; id < WindowOf(now, r.Window); id++ {
 		end := EndOf(id, r.Window)
 		if !end.After(since) || now.Before(end.Add(r.Late)) {
 			continue
 		}
-		if p := r.get(id); !p.done {
-			p.done = true
+		p := r.get(id)
+		if !p.done && (p.failed || p.known == nil) {
 			ids = append(ids, id)
 		}
+		p.done = true
 	}
 	return ids
 }
--- a/internal/report/usage/usage_test.go
+++ b/internal/report/usage/usage_test.go
@@ -308,6 +308,10 @@
 		gomega.Expect(r.Overdue(end.Add(late-time.Millisecond), start)).To(gomega.BeEmpty())
 		gomega.Expect(r.Overdue(end.Add(late), start)).To(gomega.Equal([]int64{firstWindow}))
 		gomega.Expect(r.Overdue(end.Add(late), start)).To(gomega.BeEmpty())
+		r.Learn(firstWindow+1, []byte("by an earlier holder"))
+		r.Learn(firstWindow+2, []byte("tried"))
+		r.Failed(end, firstWindow+2)
+		gomega.Expect(r.Overdue(end.Add(late+2*window), start)).To(gomega.Equal([]int64{firstWindow + 2}))
 	})
 
 	// Guards against calls in quick succession to a platform that refuses them.
--- a/usage.go
+++ b/usage.go
@@ -61,6 +61,9 @@
 const (
 	KeyUsageDuty    = "lacewingramp/duty/usage"
 	KeyUsageReports = "lacewingramp/duty/usage/report/"
+	// KeyUsageEpoch holds the time from which on no holder of an earlier epoch of the store has
+	// acted.
+	KeyUsageEpoch = "lacewingramp/duty/usage/epoch"
 )
 
 // ErrTooManyCalls is returned if the platform refused a call because of its rate.
