Bound the bytes of usage counts, and keep the stand-by of the holder

Cause: settled counts went beyond the budget with many customers, came at once in large fleets, and were sent again whenever the stand-by changed. Change: bytes are paid for at 480 a second, settled counts are spread by the size of the fleet, and a stand-by stays as long as it is alive.

--- a/internal/entry/edge/edge_usage.go
+++ b/internal/entry/edge/edge_usage.go
@@ -49,19 +49,25 @@
 	// usageFleet instances. It grows with larger ones, as the holder receives all of them.
 	usageInterval = 2 * time.Second
 	usageFleet    = 300
-	// usageBytesPerSecond bounds what an instance sends, and usageMessageBytes is the size of a
-	// message without counts, with the headers of its packet.
-	usageBytesPerSecond = 400
+	// usageBytesPerSecond bounds what an instance sends on average, of which it may send maxAdvance ahead for
+	// settled counts. usageMessageBytes is the size of a message without counts, with the headers of
+	// its packet.
+	usageBytesPerSecond = 480
+	maxAdvance          = 2500 * time.Millisecond
 	usageMessageBytes   = 200
 	usageWindowBytes    = 16
 	// usageSettleFraction times MaxDelay is how long after its end a window waits for attempts in
 	// flight.
 	usageSettleFraction = 0.25
-	// finalSends is how often the settled counts of a window are sent, as messages may be lost.
-	finalSends = 2
-	// finalSpread spreads the first of them, and resendSpread what is sent to a new holder.
-	finalSpread  = 500 * time.Millisecond
-	resendSpread = time.Second
+	// finalSends is how often the settled counts of a window are sent, as messages may be lost, and
+	// finalInterval the time between them.
+	finalSends    = 2
+	finalInterval = 1500 * time.Millisecond
+	// finalSpread spreads the first of them in fleets of up to usageFleet instances, maxFinalSpread in the largest,
+	// and resendSpread what is sent to a new holder.
+	finalSpread    = 500 * time.Millisecond
+	maxFinalSpread = 2 * time.Second
+	resendSpread   = time.Second
 	// maxWays bounds the number of addresses whose network delay is kept.
 	maxWays = 8192
 )
@@ -92,11 +98,14 @@
 	// oldReports are the keys of reports to delete, with the end of their windows.
 	oldReports map[string]time.Time
 
-	sequence   uint64
-	nextSend   time.Time
-	lastSend   time.Time
-	finalSent  map[int64]int
-	finalDelay time.Duration
+	sequence  uint64
+	nextSend  time.Time
+	lastSend  time.Time
+	finalSent map[int64]int
+	// finalPart is the part of the spread after which this instance sends settled counts, and paidUntil
+	// until when the bytes that it has sent use up usageBytesPerSecond.
+	finalPart float64
+	paidUntil time.Time
 }
 
 // newUsage returns the state of usage reports, nil if these are off.
@@ -106,7 +115,7 @@
 	}
 	u := &usageState{
 		UsageSettings: *s.Usage, UsageDependencies: *d.Usage, self: usage.Source{Name: s.Name, StartMillis: startMillis},
-		ways: make(map[string]time.Duration), finalSent: make(map[int64]int), finalDelay: rand.N(finalSpread), oldReports: make(map[string]time.Time),
+		ways: make(map[string]time.Duration), finalSent: make(map[int64]int), finalPart: rand.Float64(), oldReports: make(map[string]time.Time),
 	}
 	u.counter = usage.Counter{Window: u.Window, Retention: u.MaxDelay, SettleTimeout: time.Duration(usageSettleFraction * float64(u.MaxDelay))}
 	u.ledger = usage.Ledger{Window: u.Window, Retention: u.MaxDelay}
@@ -206,7 +215,7 @@
 		return
 	}
 	if announced.Token > u.duty.Token && holder != u.self.Name {
-		u.nextSend = now.Add(rand.N(resendSpread))
+		u.nextSend, u.paidUntil = now.Add(rand.N(resendSpread)), now
 	}
 	u.duty, u.dutyHolder = announced, holder
 	clear(u.finalSent)
@@ -317,7 +326,8 @@
 	if destinations == 0 {
 		return nil
 	}
-	if !final && now.Before(u.nextSend) && !u.finalDue(now) {
+	due := !now.Before(u.nextSend) && !now.Before(u.paidUntil)
+	if !final && !due && !u.finalDue(now, fleet) {
 		return nil
 	}
 	counts := &lacewingramp.UsageCounts{Fingerprint: u.names.Fingerprint}
@@ -342,18 +352,27 @@
 	counts.Sequence = u.sequence
 	interval := usageInterval * time.Duration(max(usageFleet, fleet)) / usageFleet
 	u.lastSend = now
-	u.nextSend = now.Add(max(interval, time.Duration(float64(size*destinations)/usageBytesPerSecond*float64(time.Second))))
+	u.nextSend = now.Add(interval)
+	if u.paidUntil.Before(now) {
+		u.paidUntil = now
+	}
+	u.paidUntil = u.paidUntil.Add(time.Duration(float64(size*destinations) / usageBytesPerSecond * float64(time.Second)))
 	return counts
 }
 
-// finalDue reports whether a window has settled whose counts were not sent since. Each instance sends
-// them at another time after the end of the window.
-func (u *usageState) finalDue(now time.Time) bool {
+// finalDue reports whether a window has settled whose counts were not sent often enough since. Each
+// instance sends them at another time after the end of the window.
+func (u *usageState) finalDue(now time.Time, fleet int) bool {
 	id := usage.WindowOf(now, u.Window) - 1
-	if now.Sub(u.lastSend) < finalSpread || now.Before(usage.EndOf(id, u.Window).Add(u.finalDelay)) {
+	spread := min(maxFinalSpread, finalSpread*time.Duration(max(usageFleet, fleet))/usageFleet)
+	sent := u.finalSent[id]
+	switch {
+	case sent >= finalSends || now.Before(usage.EndOf(id, u.Window).Add(time.Duration(u.finalPart*float64(spread)))):
+		return false
+	case sent > 0 && now.Sub(u.lastSend) < finalInterval || now.Add(maxAdvance).Before(u.paidUntil):
 		return false
 	}
-	return u.finalSent[id] == 0 && u.counter.At(now, id).Settled
+	return u.counter.At(now, id).Settled
 }
 
 func (u *usageState) sweep(now time.Time) {
--- a/internal/entry/edge/edge_usage_duty.go
+++ b/internal/entry/edge/edge_usage_duty.go
@@ -87,7 +87,7 @@
 	e.mu.Lock()
 	known, present := e.mirror.KeyValue(lacewingramp.KeyUsageDuty)
 	position := e.mirror.Position()
-	standBy := e.chooseStandBy()
+	standBy := e.chooseStandBy(u.standBy())
 	e.mu.Unlock()
 	stopping := e.stopping.Load()
 	e.observeEpoch(position.Epoch)
@@ -149,11 +149,25 @@
 	}
 }
 
+// standBy returns the announced stand-by of this holder, "" if there is none.
+func (u *usageState) standBy() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.dutyHolder != u.self.Name {
+		return ""
+	}
+	return u.duty.StandBy
+}
+
 // chooseStandBy returns the instance that should succeed this one as the holder, "" if there is
-// none. One in another failure domain is preferred. The caller must hold e.mu.
-func (e *Edge) chooseStandBy() string {
+// none. The present one stays if it is still alive. One in another failure domain is preferred. The
+// caller must hold e.mu.
+func (e *Edge) chooseStandBy(present string) string {
 	var near, far []string
 	for _, p := range e.peers.ReachingStore(e.Timer.Now()) {
+		if p.Name == present {
+			return present
+		}
 		if p.Domain == e.Domain {
 			near = append(near, p.Name)
 		} else {
