--- a/internal/entry/edge/edge_usage_report.go
+++ b/internal/entry/edge/edge_usage_report.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"time"
@@ -123,11 +122,8 @@
 	if !ok {
 		return work{}, false
 	}
-	w := work{id: id, token: token, suspect: u.suspect(id)}
-	w.body, w.stored = u.reports.Body(id, duty.Epoch(token))
-	if w.suspect && !w.stored {
-		w.body = u.reports.Known(id)
-	}
+	w := work{id: id, token: token}
+	w.body, w.stored, w.suspect = u.reports.Plan(id, duty.Epoch(token), u.holder.ClearFrom())
 	if w.body != nil || w.suspect {
 		return w, true
 	}
@@ -135,11 +131,6 @@
 	return w, ok
 }
 
-// suspect reports whether a window may have been reported in an earlier epoch.
-func (u *usageState) suspect(id int64) bool {
-	return usage.EndOf(id, u.Window).Before(u.holder.ClearFrom())
-}
-
 // firstStart returns the earliest start of a known instance. Nothing is known of windows that ended
 // before.
 func (u *usageState) firstStart(live []usage.Source) time.Time {
@@ -228,13 +219,19 @@
 		return nil, false
 	}
 	_, record, err := decodeReport(&kv)
-	if err != nil || (duty.Epoch(record.Token) != epoch && w.suspect && !bytes.Equal(record.Body, w.body)) {
+	if err != nil || !e.usable(w, epoch, record) {
 		e.giveUpSuspect(w)
 		return nil, false
 	}
 	return record.Body, e.adopt(w, record.Body, kv.Epoch)
 }
 
+func (e *Edge) usable(w work, epoch int64, r reportRecord) bool {
+	e.usage.mu.Lock()
+	defer e.usage.mu.Unlock()
+	return e.usage.reports.Usable(w.id, epoch, e.usage.holder.ClearFrom(), duty.Epoch(r.Token), r.Body)
+}
+
 // adopt records the body that the store has. It reports false if the store was restored since the
 // duty was acquired.
 func (e *Edge) adopt(w work, body []byte, epoch int64) bool {
--- a/internal/operator/command/cmd_settings.go
+++ b/internal/operator/command/cmd_settings.go
@@ -21,6 +21,10 @@
 	if err != nil {
 		return err
 	}
+	usage := "off"
+	if s.Usage != nil {
+		usage = fmt.Sprintf("%s every %s, lease %s, within %s", s.Usage.Address, s.Usage.Window, s.Usage.Lease, s.Usage.MaxDelay)
+	}
 	t := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
 	for _, setting := range []struct {
 		name        string
@@ -43,6 +47,7 @@
 		{"retry-extra", s.RetryExtra, "additional retries allowed per retry-window, fleet-wide"},
 		{"retry-window", s.RetryWindow, "window in which requests and retries are counted"},
 		{"expose-share", s.MaxCanaryFraction, "maximum fraction of a service's requests that a version under test receives"},
+		{"usage-reports", usage, "where and how often usage is reported to the platform"},
 		{"memory", s.Memory, "memory limit of the process in bytes"},
 		{"processor", s.CPUs, "CPU limit of the process in CPUs, 0 if unknown"},
 		{"bandwidth", s.Bandwidth, "bandwidth of the machine's network link in bit/s, 0 if unknown"},
--- a/internal/report/usage/usage_test.go
+++ b/internal/report/usage/usage_test.go
@@ -302,6 +302,33 @@
 		gomega.Expect(stored).To(gomega.BeFalse())
 	})
 
+	// Guards against a write of an earlier epoch that takes effect after the store was restored, and is
+	// sent in place of the report that was lost with the store's later state.
+	ginkgo.DescribeTable("tell whether what the store has may be sent", func(tokenEpoch int64, body string, clearFrom time.Time, expected bool) {
+		r := newReports()
+		r.Learn(firstWindow, []byte("sent"))
+		gomega.Expect(r.Usable(firstWindow, 2, clearFrom, tokenEpoch, []byte(body))).To(gomega.Equal(expected))
+	},
+		ginkgo.Entry("of the present epoch", int64(2), "other", end.Add(time.Second), true),
+		ginkgo.Entry("of an earlier epoch, and not what was sent", int64(1), "other", end.Add(time.Second), false),
+		ginkgo.Entry("of an earlier epoch, and what was sent", int64(1), "sent", end.Add(time.Second), true),
+		ginkgo.Entry("of an earlier epoch, of a window that nobody can have sent then", int64(1), "other", end, true),
+	)
+
+	// Guards against windows of which this instance knows nothing and that a holder of an earlier epoch may
+	// have reported.
+	ginkgo.It("are suspect if they ended before the epoch is clear", func() {
+		r := newReports()
+		r.Fix(firstWindow, []byte("own"))
+		body, stored, suspect := r.Plan(firstWindow, 2, end.Add(time.Second))
+		gomega.Expect(body).To(gomega.BeNil())
+		gomega.Expect(stored).To(gomega.BeFalse())
+		gomega.Expect(suspect).To(gomega.BeTrue())
+		body, _, suspect = r.Plan(firstWindow, 2, end)
+		gomega.Expect(string(body)).To(gomega.Equal("own"))
+		gomega.Expect(suspect).To(gomega.BeFalse())
+	})
+
 	// Guards against windows that are given up without a word, or more than once.
 	ginkgo.It("tell once which windows were given up", func() {
 		r := newReports()
