Leave the duty only where the way to the platform is cut, and press less on a lost store

Cause: a holder gave up the duty also where the platform was slow or down for all, which costs windows, and all candidates tried again several times a second while the store did not respond. Change: only connections that time out count; candidates back off to 3 s while the store does not respond. Comments are wrapped.

--- a/internal/entry/edge/edge_usage.go
+++ b/internal/entry/edge/edge_usage.go
@@ -17,8 +17,8 @@
 
 // UsageSettings configures the reports of how many requests of each customer targets began.
 type UsageSettings struct {
-	// Window is the time that each report is about, and MaxDelay the maximum time from its end to the
-	// report.
+	// Window is the time that each report is about, and MaxDelay the maximum time from its end to
+	// the report.
 	Window   time.Duration
 	MaxDelay time.Duration
 	// Lease is the lease of the duty, and CallsPerSecond the maximum rate of calls of all instances.
@@ -49,9 +49,9 @@
 	// usageFleet instances. It grows with larger ones, as the holder receives all of them.
 	usageInterval = 2 * time.Second
 	usageFleet    = 300
-	// usageBytesPerSecond bounds what an instance sends on average, of which it may send maxAdvance ahead for
-	// settled counts. usageMessageBytes is the size of a message without counts, with the headers of
-	// its packet.
+	// usageBytesPerSecond bounds what an instance sends on average, of which it may send
+	// maxAdvance ahead for settled counts. usageMessageBytes is the size of a message without
+	// counts, with the headers of its packet.
 	usageBytesPerSecond = 480
 	maxAdvance          = 2500 * time.Millisecond
 	usageMessageBytes   = 200
@@ -63,8 +63,8 @@
 	// finalInterval the time between them.
 	finalSends    = 2
 	finalInterval = 1500 * time.Millisecond
-	// finalSpread spreads the first of them in fleets of up to usageFleet instances, maxFinalSpread in the largest,
-	// and resendSpread what is sent to a new holder.
+	// finalSpread spreads the first of them in fleets of up to usageFleet instances,
+	// maxFinalSpread in the largest, and resendSpread what is sent to a new holder.
 	finalSpread    = 500 * time.Millisecond
 	maxFinalSpread = 2 * time.Second
 	resendSpread   = time.Second
@@ -72,8 +72,8 @@
 	maxWays = 8192
 )
 
-// usageState is the state of usage reports of an instance. mu guards what follows it; it may be locked while
-// Edge.mu is, but not the other way round.
+// usageState is the state of usage reports of an instance. mu guards what follows it; it may be
+// locked while Edge.mu is, but not the other way round.
 type usageState struct {
 	UsageSettings
 	UsageDependencies
@@ -92,7 +92,7 @@
 	duty       lacewingramp.UsageDuty
 	dutyHolder string
 	candidate  candidate
-	// failingSince is since when the platform has not responded to this holder.
+	// failingSince is since when this holder could not connect to the platform.
 	failingSince time.Time
 	callAt       time.Time
 	// oldReports are the keys of reports to delete, with the end of their windows.
@@ -102,8 +102,8 @@
 	nextSend  time.Time
 	lastSend  time.Time
 	finalSent map[int64]int
-	// finalPart is the part of the spread after which this instance sends settled counts, and paidUntil
-	// until when the bytes that it has sent use up usageBytesPerSecond.
+	// finalPart is the part of the spread after which this instance sends settled counts, and
+	// paidUntil until when the bytes that it has sent use up usageBytesPerSecond.
 	finalPart float64
 	paidUntil time.Time
 }
@@ -286,7 +286,8 @@
 	}
 }
 
-// shortHeartbeat returns a heartbeat without what only regular heartbeats need. The caller must hold e.mu.
+// shortHeartbeat returns a heartbeat without what only regular heartbeats need. The caller must
+// hold e.mu.
 func (e *Edge) shortHeartbeat(now time.Time) *lacewingramp.Heartbeat {
 	self := e.self
 	self.Leaving = e.stopping.Load()
@@ -305,7 +306,8 @@
 	return u.dutyHolder, u.duty.StandBy
 }
 
-// leaseAge returns how long ago the lease of the duty was renewed, 0 if this instance is not the holder.
+// leaseAge returns how long ago the lease of the duty was renewed, 0 if this instance is not the
+// holder.
 func (u *usageState) leaseAge() time.Duration {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -316,8 +318,8 @@
 	return now.Sub(u.holder.RenewedAt())
 }
 
-// due returns the counts to send now, nil if there is nothing to send. The last counts of an instance
-// that stops are always due.
+// due returns the counts to send now, nil if there is nothing to send. The last counts of an
+// instance that stops are always due.
 func (u *usageState) due(destinations, fleet int, final bool) *lacewingramp.UsageCounts {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/internal/entry/edge/edge_usage_duty.go
+++ b/internal/entry/edge/edge_usage_duty.go
@@ -20,8 +20,8 @@
 	leaseMarginPart = 6
 	// renewalPart is the part of the lease after which it is renewed.
 	renewalPart = 6
-	// dutyStep is the time between two looks at the state of the duty, and usageStoreTimeout bounds each call
-	// to the store.
+	// dutyStep is the time between two looks at the state of the duty, and usageStoreTimeout
+	// bounds each call to the store.
 	dutyStep          = 50 * time.Millisecond
 	usageStoreTimeout = time.Second
 	// readBackPause is the pause between attempts to read the key back.
@@ -31,11 +31,16 @@
 	preferredDelay  = 50 * time.Millisecond
 	acquireHandicap = 150 * time.Millisecond
 	acquireSpread   = 400 * time.Millisecond
-	// platformTimeout is how long the platform may be silent before the holder leaves the duty to others, and
-	// avoidTime how long it then leaves them avoidDelay of precedence.
+	// platformTimeout is how long connections to the platform may fail before the holder leaves
+	// the duty to others, and avoidTime how long it then leaves them avoidDelay of precedence.
 	platformTimeout = 4 * time.Second
 	avoidTime       = 15 * time.Second
 	avoidDelay      = 1500 * time.Millisecond
+	// A candidate to which the store does not respond tries again after up to acquireBackoff,
+	// doubled each time up to maxAcquireBackoff, so that a whole fleet does not press on a store
+	// that comes back.
+	acquireBackoff    = 500 * time.Millisecond
+	maxAcquireBackoff = 3 * time.Second
 )
 
 // dutyRecord is the value of the key of the duty. Nonce identifies the write.
@@ -53,10 +58,12 @@
 }
 
 // candidate is the state of an instance that may acquire the duty. attemptAt is when it tries
-// next, zero if the duty is held. wasHolder says that it has renounced the duty because the store was
-// restored, and record is its own record.
+// next, zero if the duty is held, and backoff is set while the store does not respond. wasHolder
+// says that it has renounced the duty because the store was restored, and record is its own
+// record.
 type candidate struct {
 	attemptAt  time.Time
+	backoff    time.Duration
 	avoidUntil time.Time
 	wasHolder  bool
 	record     dutyRecord
@@ -138,8 +145,22 @@
 	return true
 }
 
+// recordAttempt records whether the store has responded to an attempt to acquire the duty.
+func (u *usageState) recordAttempt(err error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if err == nil {
+		u.candidate.backoff = 0
+		return
+	}
+	u.candidate.backoff = min(maxAcquireBackoff, max(acquireBackoff, 2*u.candidate.backoff))
+	u.candidate.attemptAt = u.Now().Add(u.acquireDelay(u.Now()))
+}
+
 func (u *usageState) acquireDelay(now time.Time) time.Duration {
 	switch {
+	case u.candidate.backoff > 0:
+		return u.candidate.backoff/2 + rand.N(u.candidate.backoff/2)
 	case now.Before(u.candidate.avoidUntil):
 		return avoidDelay + rand.N(acquireSpread)
 	case u.candidate.wasHolder || u.duty.StandBy == u.self.Name:
@@ -201,6 +222,7 @@
 func (e *Edge) acquireDuty(ctx context.Context, standBy string) {
 	u := e.usage
 	known, err := e.readKey(ctx, lacewingramp.KeyUsageDuty)
+	u.recordAttempt(err)
 	if err != nil || known.Revision != 0 {
 		return
 	}
--- a/internal/entry/edge/edge_usage_report.go
+++ b/internal/entry/edge/edge_usage_report.go
@@ -15,18 +15,19 @@
 const (
 	// usageCallTimeout bounds one call to the platform.
 	usageCallTimeout = 1500 * time.Millisecond
-	// sendReserve is the time before MaxDelay that is left to store and send the report of a window. A
-	// window without all counts is closed then, or at half of MaxDelay if that is earlier in the window's time.
+	// sendReserve is the time before MaxDelay that is left to store and send the report of a
+	// window. A window without all counts is closed then, or at half of MaxDelay if that is
+	// later.
 	sendReserve = 4 * time.Second
 	// countsPause is how often a window is looked at that waits for counts.
 	countsPause = 100 * time.Millisecond
-	// silentIntervals is the number of intervals between messages after which counts of an instance are no longer
-	// waited for.
+	// silentIntervals is the number of intervals between messages after which counts of an
+	// instance are no longer waited for.
 	silentIntervals = 2.25
 	// callsPart is the part of the platform's rate of calls that the holder uses.
 	callsPart = 0.25
-	// oldReportAge is how long after the end of its window a report is deleted. No holder sends it any more,
-	// and no write of it is still on its way.
+	// oldReportAge is how long after the end of its window a report is deleted. No holder sends
+	// it any more, and no write of it is still on its way.
 	oldReportAge = time.Minute
 	listTimeout  = 3 * time.Second
 )
@@ -302,17 +303,16 @@
 	e.Log.Info().Int64("window", w.id).Int64("token", w.token).Int("bytes", len(w.body)).Dur("after", delay).Msg("reported a usage window")
 }
 
-// checkPlatform leaves the duty to other instances if the platform has been silent for
-// platformTimeout: they may reach it.
+// checkPlatform leaves the duty to other instances if no connection to the platform could be opened
+// for platformTimeout: they may reach it.
 func (e *Edge) checkPlatform(err error) {
 	u := e.usage
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.Now()
 	token, ok := u.holder.MayAct(now)
-	silent := errors.Is(err, lacewingramp.ErrUnreachable) || errors.Is(err, lacewingramp.ErrNoResponse)
 	switch {
-	case !silent || !ok:
+	case !errors.Is(err, lacewingramp.ErrNoConnection) || !ok:
 		u.failingSince = time.Time{}
 	case u.failingSince.IsZero():
 		u.failingSince = now
@@ -320,7 +320,7 @@
 		u.failingSince = time.Time{}
 		u.candidate.avoidUntil = now.Add(avoidTime)
 		u.holder.Lost(now)
-		e.Log.Warn().Int64("token", token).Err(err).Msg("renounced the duty of usage reports: the platform does not respond")
+		e.Log.Warn().Int64("token", token).Err(err).Msg("renounced the duty of usage reports: no connection to the platform")
 	}
 }
 
@@ -377,7 +377,8 @@
 	_, _ = withTimeout(ctx, usageStoreTimeout, func(ctx context.Context) (struct{}, error) { return struct{}{}, u.Store.Delete(ctx, key) })
 }
 
-// oldReport returns the key of a report to delete, "" if there is none or this instance is not the holder.
+// oldReport returns the key of a report to delete, "" if there is none or this instance is not
+// the holder.
 func (u *usageState) oldReport() string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/internal/entry/edge/usage_test.go
+++ b/internal/entry/edge/usage_test.go
@@ -179,8 +179,8 @@
 	return nil
 }
 
-// check expects that the platform has got one report for each window, tokens that do not decrease, and
-// each token from one instance.
+// check expects that the platform has got one report for each window, tokens that do not
+// decrease, and each token from one instance.
 func (s *usagePlatform) check() (windows map[int64]usageBody, senders []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -237,8 +237,8 @@
 		}
 	}
 
-	// Guards against requests that are not reported, or twice, over all instances, also if responses of the
-	// store and of the platform are lost and the holder changes.
+	// Guards against requests that are not reported, or twice, over all instances, also if
+	// responses of the store and of the platform are lost and the holder changes.
 	ginkgo.It("count each request once, whoever is the holder", func() {
 		d, s, p := newFleet()
 		s.lost, p.lost = 3, 2
--- a/internal/peer/duty/duty.go
+++ b/internal/peer/duty/duty.go
@@ -79,8 +79,8 @@
 	position   lacewingramp.Position
 	renewedAt  time.Time
 	quietUntil time.Time
-	// epochFrom is the time from which on no holder of an earlier epoch has acted, and clearFrom that
-	// from which on nobody but this instance may have.
+	// epochFrom is the time from which on no holder of an earlier epoch has acted, and clearFrom
+	// that from which on nobody but this instance may have.
 	epochFrom time.Time
 	clearFrom time.Time
 }
--- a/internal/peer/duty/duty_test.go
+++ b/internal/peer/duty/duty_test.go
@@ -58,8 +58,8 @@
 		gomega.Expect(h.ValidUntil()).To(gomega.Equal(at.Add(lease - margin)))
 	})
 
-	// Guards against a holder paused between check and send for longer than its lease, which would go on as
-	// if nothing had happened.
+	// Guards against a holder paused between check and send for longer than its lease, which
+	// would go on as if nothing had happened.
 	ginkgo.It("does not act after a pause longer than its lease, until the store still has its key", func() {
 		h := newHolder()
 		p := lacewingramp.Position{Epoch: 1, Revision: 9}
@@ -106,8 +106,8 @@
 		ginkgo.Entry("if the write is another one", lacewingramp.Position{Epoch: 1, Revision: 9}, lacewingramp.KeyValue{Epoch: 1, Revision: 8}, true),
 	)
 
-	// Guards against windows that two holders report differently, the first of them in the epoch that
-	// is lost.
+	// Guards against windows that two holders report differently, the first of them in the epoch
+	// that is lost.
 	ginkgo.It("knows from when on no holder of an earlier epoch has acted", func() {
 		other := newHolder()
 		other.ObserveEpoch(start, 1)
--- a/internal/peer/duty/interleave_test.go
+++ b/internal/peer/duty/interleave_test.go
@@ -174,8 +174,8 @@
 	return true
 }
 
-// send lets all holders send that may, which they could do at any time, and returns a violation of the
-// rules of the platform.
+// send lets all holders send that may, which they could do at any time, and returns a violation
+// of the rules of the platform.
 func (w *world) send() string {
 	for n := range w.holders {
 		token, ok := w.holders[n].MayAct(w.now)
@@ -232,8 +232,8 @@
 	return nil
 }
 
-// newWorld returns a world. If held is set, A has acquired the duty and its quiet time is over, so that the
-// orders that follow have a holder.
+// newWorld returns a world. If held is set, A has acquired the duty and its quiet time is over,
+// so that the orders that follow have a holder.
 func newWorld(held bool) *world {
 	w := &world{now: start, epoch: 1, revision: 5, backupAt: 5}
 	for n := range w.holders {
@@ -252,10 +252,10 @@
 }
 
 var _ = ginkgo.Describe("two holders", func() {
-	// Guards against every order of acquisition, renewal, expiry, pause, lost response, late write and
-	// restoration in which the platform would get a lower token after a higher one, the same token of both, or holders in
-	// the order A, B, A within a lease. Between two steps every holder sends that may; a holder that is
-	// paused is one whose renewals are missing.
+	// Guards against every order of acquisition, renewal, expiry, pause, lost response, late
+	// write and restoration in which the platform would get a lower token after a higher one, the
+	// same token of both, or holders in the order A, B, A within a lease. Between two steps every
+	// holder sends that may; a holder that is paused is one whose renewals are missing.
 	ginkgo.DescribeTable("never send against the rules, in any order of steps", func(held bool, restoreTo string) {
 		w := newWorld(held)
 		if restoreTo == "empty" {
--- a/internal/peer/heartbeat/size_test.go
+++ b/internal/peer/heartbeat/size_test.go
@@ -49,8 +49,8 @@
 	gomega.Expect(len(after) - len(before)).To(gomega.BeNumerically("<=", maxConfirmationBytes))
 })
 
-// Guards against more than 0.5 KB/s of usage counts for each instance: it sends 3 messages in 5 s to each of the
-// holder and its stand-by, with two windows of 83 customers.
+// Guards against more than 0.5 KB/s of usage counts for each instance: it sends 3 messages in 5 s
+// to each of the holder and its stand-by, with two windows of 83 customers.
 var _ = ginkgo.It("usage counts are understood by earlier programs and take at most 500 bytes a second", func() {
 	const customers, messages, packetHeader = 83, 3 * 2, 28
 	h := newHeartbeat("edge-kochi-c-9", 1_800_000_000_000, 5_000)
--- a/internal/report/usage/exactly_once_test.go
+++ b/internal/report/usage/exactly_once_test.go
@@ -17,9 +17,9 @@
 	"lacewingramp.example/lacewingramp/internal/report/usage"
 )
 
-// This file plays holders against a model of the store and the platform in random orders. Each call to the
-// store takes effect at one time and is answered at a later one, or is answered with an unknown
-// outcome before or after it takes effect.
+// This file plays holders against a model of the store and the platform in random orders. Each
+// call to the store takes effect at one time and is answered at a later one, or is answered with
+// an unknown outcome before or after it takes effect.
 
 const (
 	modelLease  = 3 * time.Second
@@ -412,9 +412,9 @@
 }
 
 var _ = ginkgo.Describe("reports by several holders", func() {
-	// Guards against two reports of one window, against tokens that fall and against a token of two holders,
-	// while calls to the store are late or lost, leases are dropped, nodes pause and restart, and
-	// the store is restored to older states again and again.
+	// Guards against two reports of one window, against tokens that fall and against a token of
+	// two holders, while calls to the store are late or lost, leases are dropped, nodes pause and
+	// restart, and the store is restored to older states again and again.
 	ginkgo.It("are never in conflict", func() {
 		calls, windows, epochs := 0, 0, int64(0)
 		seeds := uint64(600)
--- a/internal/report/usage/ledger.go
+++ b/internal/report/usage/ledger.go
@@ -129,8 +129,8 @@
 	return total, missing
 }
 
-// Awaited reports whether counts of a window may still arrive: one of the live instances has not sent its
-// settled counts, and was heard within a time, or never.
+// Awaited reports whether counts of a window may still arrive: one of the live instances has not
+// sent its settled counts, and was heard within a time, or never.
 func (l *Ledger) Awaited(now time.Time, id int64, live []Source, silence time.Duration) bool {
 	end := EndOf(id, l.Window).UnixMilli()
 	for _, s := range live {
--- a/internal/report/usage/reports.go
+++ b/internal/report/usage/reports.go
@@ -92,10 +92,10 @@
 	return p.body, false
 }
 
-// Plan says what to do about a window. epoch is that of the holder's token, and clearFrom the time
-// from which on nobody but this instance can have reported a window in an earlier epoch. If the body
-// is nil and the window is suspect, only what the store has can be sent, if it is Usable. If it is nil and the window is not
-// suspect, this instance decides on the body with Fix.
+// Plan says what to do about a window. epoch is that of the holder's token, and clearFrom the
+// time from which on nobody but this instance can have reported a window in an earlier epoch. If
+// the body is nil and the window is suspect, only what the store has can be sent, if it is
+// Usable. If it is nil and the window is not suspect, this instance decides on the body with Fix.
 func (r *Reports) Plan(id, epoch int64, clearFrom time.Time) (body []byte, stored, suspect bool) {
 	body, stored = r.Body(id, epoch)
 	suspect = r.suspect(id, clearFrom)
@@ -110,9 +110,9 @@
 	return EndOf(id, r.Window).Before(clearFrom)
 }
 
-// Usable reports whether a body that the store was found to have may be sent. tokenEpoch is the epoch of the
-// token of its writer. One from an earlier epoch may have been written after the store was
-// restored, in place of another one that was sent.
+// Usable reports whether a body that the store was found to have may be sent. tokenEpoch is the
+// epoch of the token of its writer. One from an earlier epoch may have been written after the
+// store was restored, in place of another one that was sent.
 func (r *Reports) Usable(id, epoch int64, clearFrom time.Time, tokenEpoch int64, body []byte) bool {
 	if tokenEpoch == epoch || !r.suspect(id, clearFrom) {
 		return true
--- a/internal/report/usage/usage_test.go
+++ b/internal/report/usage/usage_test.go
@@ -33,7 +33,8 @@
 }
 
 var _ = ginkgo.Describe("Counter", func() {
-	// Guards against counts of requests that no target began, or that omit those that one may have begun.
+	// Guards against counts of requests that no target began, or that omit those that one may
+	// have begun.
 	ginkgo.DescribeTable("counts an attempt by its outcome", func(outcome lacewingramp.Verdict, expected int) {
 		c := newCounter()
 		id := c.Start(usage.Attempt{Customer: "andes", SentAt: start, OneWay: way})
@@ -47,8 +48,8 @@
 		ginkgo.Entry("with an unknown outcome", lacewingramp.MayHaveRun, 1),
 	)
 
-	// Guards against requests on the border of windows that are counted by when they were sent, although
-	// they waited in the queue of a target for seconds.
+	// Guards against requests on the border of windows that are counted by when they were sent,
+	// although they waited in the queue of a target for seconds.
 	ginkgo.It("counts a request that queued by the time of its response", func() {
 		c := newCounter()
 		work := 500 * time.Millisecond
@@ -141,8 +142,8 @@
 		}
 	})
 
-	// Guards against more control traffic than 0.5 KB/s: two destinations each 2 s, with the counts of two
-	// windows of a fleet with 83 customers.
+	// Guards against more control traffic than 0.5 KB/s: two destinations each 2 s, with the
+	// counts of two windows of a fleet with 83 customers.
 	ginkgo.It("of 83 customers take at most 100 bytes a window", func() {
 		var customers []lacewingramp.Customer
 		w := usage.WindowCounts{ID: firstWindow, Counts: map[string]uint64{}}
@@ -209,7 +210,8 @@
 		gomega.Expect(missing).To(gomega.BeEmpty())
 	})
 
-	// Guards against windows that are closed long after their end as a killed instance is waited for.
+	// Guards against windows that are closed long after their end as a killed instance is waited
+	// for.
 	ginkgo.It("no longer waits for an instance that fell silent", func() {
 		l := newLedger()
 		l.Record(now, one, counts(names, 9, 20, false))
@@ -261,7 +263,8 @@
 	newReports := func() *usage.Reports { return &usage.Reports{Window: window, Late: late} }
 	end := start.Add(window)
 
-	// Guards against windows that are reported before their end, late, twice, or from before the start.
+	// Guards against windows that are reported before their end, late, twice, or from before the
+	// start.
 	ginkgo.It("are due from the end of a window until it is late", func() {
 		r := newReports()
 		_, ok := r.Next(end.Add(-time.Millisecond), start)
@@ -302,8 +305,8 @@
 		gomega.Expect(stored).To(gomega.BeFalse())
 	})
 
-	// Guards against a write of an earlier epoch that takes effect after the store was restored, and is
-	// sent in place of the report that was lost with the store's later state.
+	// Guards against a write of an earlier epoch that takes effect after the store was restored,
+	// and is sent in place of the report that was lost with the store's later state.
 	ginkgo.DescribeTable("tell whether what the store has may be sent", func(tokenEpoch int64, body string, clearFrom time.Time, expected bool) {
 		r := newReports()
 		r.Learn(firstWindow, []byte("sent"))
@@ -315,8 +318,8 @@
 		ginkgo.Entry("of an earlier epoch, of a window that nobody can have sent then", int64(1), "other", end, true),
 	)
 
-	// Guards against windows of which this instance knows nothing and that a holder of an earlier epoch may
-	// have reported.
+	// Guards against windows of which this instance knows nothing and that a holder of an earlier
+	// epoch may have reported.
 	ginkgo.It("are suspect if they ended before the epoch is clear", func() {
 		r := newReports()
 		r.Fix(firstWindow, []byte("own"))
--- a/usage.go
+++ b/usage.go
@@ -13,10 +13,10 @@
 	StandBy string `cbor:"2,keyasint,omitempty"`
 }
 
-// UsageCounts are the counts of the requests of each customer that targets began, as the
-// instance of the Heartbeat in the same Datagram has sent them. They are cumulative: those with the highest
-// Sequence of an instance's run replace all earlier ones of the same windows. Fingerprint is that of the
-// customers' names to which the counts refer.
+// UsageCounts are the counts of the requests of each customer that targets began, as the instance
+// of the Heartbeat in the same Datagram has sent them. They are cumulative: those with the
+// highest Sequence of an instance's run replace all earlier ones of the same windows. Fingerprint
+// is that of the customers' names to which the counts refer.
 type UsageCounts struct {
 	Sequence    uint64        `cbor:"1,keyasint"`
 	Fingerprint uint64        `cbor:"2,keyasint"`
@@ -69,8 +69,9 @@
 // ErrTooManyCalls is returned if the platform refused a call because of its rate.
 var ErrTooManyCalls = errors.New("too many calls to the platform")
 
-// ErrNoResponse is returned together with ErrUnknownOutcome if there was no response at all.
-var ErrNoResponse = errors.New("no response from the platform")
+// ErrNoConnection is returned together with ErrUnreachable if the platform did not respond at all
+// when a connection to it was opened, so that the way to it may be cut.
+var ErrNoConnection = errors.New("no connection to the platform")
 
 // UsageCall is one call with a report. MayWrite is asked just before anything is written.
 type UsageCall struct {
@@ -84,7 +85,7 @@
 	// EncodeReport returns the body of the report of a window.
 	EncodeReport(window int64, counts map[string]uint64) ([]byte, error)
 	// SendReport sends a report. ctx needs a deadline, after which nothing of the call may arrive
-	// at the platform. It returns nil if the report was accepted, ErrTooManyCalls, ErrUnreachable if it was
-	// not sent, or ErrUnknownOutcome.
+	// at the platform. It returns nil if the report was accepted, ErrTooManyCalls, ErrUnreachable
+	// if it was not sent, or ErrUnknownOutcome.
 	SendReport(ctx context.Context, call UsageCall) error
 }
