--- a/heartbeat.go
+++ b/heartbeat.go
@@ -37,7 +37,9 @@
 	// SlowTargets is a selection if there are too many for one datagram.
 	SlowTargets []SlowTarget `cbor:"16,keyasint,omitempty"`
 	// TargetLoads holds the latest reports of targets of load-aware services on their load.
-	TargetLoads TargetLoads `cbor:"18,keyasint,omitempty"`
+	TargetLoads TargetLoads `cbor:"17,keyasint,omitempty"`
+	// UsageDuty is set if the instance holds the duty of usage reports.
+	UsageDuty *UsageDuty `cbor:"18,keyasint,omitempty"`
 }
 
 // Position returns the position in the store's history up to which the instance has read.
--- a/internal/call/exchange/exchange.go
+++ b/internal/call/exchange/exchange.go
@@ -103,6 +103,8 @@
 	ConnectionOpened bool
 
 	ConnectionRefused bool
+	// Connecting is how long it took to open the connection, 0 if it was open before.
+	Connecting time.Duration
 }
 
 // Client sends requests over a pool of connections to targets. It is safe for
@@ -120,7 +122,9 @@
 // Do sends the request of a TargetRequest and waits for the response. If ctx is
 // cancelled, the connection is closed, which makes the target abort the request.
 func (c *Client) Do(ctx context.Context, req TargetRequest) Result {
+	startedAt := time.Now()
 	conn, opened, err := c.connection(ctx, req)
+	connecting := time.Since(startedAt)
 	if err != nil {
 		// A reset comes from a target that has accepted the connection.
 		refused := req.DetectRefusals && errors.Is(err, syscall.ECONNRESET) && ctx.Err() == nil
@@ -141,7 +145,9 @@
 		return Result{Verdict: lacewingramp.NotRun, Err: errors.Join(err, ctx.Err()), ConnectionOpened: opened, ConnectionRefused: ctx.Err() == nil}
 	}
 	result := c.exchange(conn, req)
-	result.ConnectionOpened = opened
+	if result.ConnectionOpened = opened; opened {
+		result.Connecting = connecting
+	}
 	if !stop() {
 		_ = conn.Close()
 		result.ConnectionBroken, result.ConnectionLost = false, false
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -84,6 +84,8 @@
 	Memory int64
 	// MaxDescriptors is the maximum number of open file descriptors, 0 if unknown.
 	MaxDescriptors int
+	// Usage is set if the instances report usage, nil if not.
+	Usage *UsageSettings
 }
 
 // Store is the part of the platform's store that an instance uses.
@@ -107,6 +109,8 @@
 	Meter           Meter
 	// Dialer opens the connections to targets. If it is nil, those of the system are used.
 	Dialer lacewingramp.Dialer
+	// Usage is set if the settings have Usage.
+	Usage *UsageDependencies
 }
 
 // Meter records the metrics of an instance.
@@ -145,6 +149,11 @@
 	// EstimateError records by how many requests the estimate of the requests at a target
 	// differs from a new report of that target, on the average.
 	EstimateError(requests float64)
+	// UsageReport counts a usage window that was sent, sent late or given up.
+	UsageReport(outcome string)
+	// UsageLeaseAge records how long ago the lease of the duty of usage reports was renewed,
+	// 0 at all instances but the holder.
+	UsageLeaseAge(age time.Duration)
 }
 
 // Edge is an instance. expired maps targets whose registration expired during a store
@@ -176,6 +185,8 @@
 
 	socket   *heartbeat.Socket
 	restored chan struct{}
+	// usage is nil if the instances do not report usage.
+	usage *usageState
 
 	mu     sync.Mutex
 	self   lacewingramp.Endpoint
@@ -255,6 +266,7 @@
 	e.resetAt = make(map[string]time.Time)
 	e.peers = heartbeat.Peers{Self: s.Name, Region: s.Region, Regions: s.Regions}
 	e.store.interrupt = func() {}
+	e.usage = newUsage(s, d, e.self.StartMillis)
 	return e
 }
 
@@ -286,9 +298,11 @@
 	if relayListener != nil {
 		wg.Go(func() { e.logServeError(e.relayServer.Serve(relayListener), "serving relayed requests") })
 	}
+	e.runUsage(background, wg.Go)
 	stopTicks := e.Timer.Every(heartbeat.Period, func(now time.Time) { e.tick(background, now) })
 	<-ctx.Done()
 	e.stop(callerListener)
+	e.tickUsage(true)
 	stopTicks()
 	cancel()
 	_ = peerListener.Close()
--- a/internal/report/meter/meter_test.go
+++ b/internal/report/meter/meter_test.go
@@ -29,6 +29,8 @@
 		m.Unconfirmed(time.Second)
 		m.EstimateError(1.4)
 		m.Relayed(lacewingramp.RelayResponded)
+		m.UsageReport("sent")
+		m.UsageLeaseAge(time.Second)
 		w := httptest.NewRecorder()
 		m.ServeHTTP(w, nil)
 		page, err := os.ReadFile("../../../docs/METRICS.md")
