Keep requests at two warm targets an object, and let nobody wait in vain

Cause: with any number of targets an object, requests spilled over to cold targets, whose longer work filled them too. A customer that is bound to a full region waited in the queue and was refused at the end of its wait. Tokens kept for callers that return were not used.

--- a/internal/entry/edge/edge_pool.go
+++ b/internal/entry/edge/edge_pool.go
@@ -29,18 +29,13 @@
 
 // takeQuota takes quota for one request of a customer, from this instance's share of
 // the limit or else from the customer's pool. If there is none it returns the reason
-// and the delay after which the caller should retry. Tokens that refused requests have returned
-// are for callers that return, in a deployment with load-aware services.
+// and the delay after which the caller should retry.
 func (e *Edge) takeQuota(ctx context.Context, j *job) (wait time.Duration, err error) {
 	customer := j.customerName()
 	e.mu.Lock()
 	now := e.Timer.Now()
 	e.recognizeReturn(now, j)
-	take := e.quota.Take
-	if e.placer.AnyLoadAware() && !j.returned {
-		take = e.quota.TakeNew
-	}
-	ok := take(now, customer)
+	ok := e.quota.Take(now, customer)
 	wait = max(minRateRetryAfter, e.quota.Wait(customer))
 	e.mu.Unlock()
 	if ok {
--- a/internal/limit/admission/admission.go
+++ b/internal/limit/admission/admission.go
@@ -51,7 +51,7 @@
 	lastRoomLoad = 2.0
 	// maxWaitFraction is the maximum part of its time that a request waits, and
 	// runFraction the part that it needs to run if that is not known.
-	maxWaitFraction = 0.5
+	maxWaitFraction = 0.35
 	runFraction     = 0.3
 	// maxTries is the number of waiting requests that may try to get the same room. Those that
 	// are not allowed at its target must not block the others.
@@ -125,6 +125,7 @@
 	duration time.Duration
 	round    uint64
 	tries    int
+	outcomes outcomes
 	// returns holds until when the callers of each class have been told to return.
 	returns [Classes]time.Time
 }
@@ -220,13 +221,14 @@
 	ahead := q.ahead(&r)
 	wait := q.expectedWait(now, ahead, r.RoomIn)
 	until := r.latestStart(now)
-	if now.Add(wait).After(until) || !q.makePlace(&r) {
+	if now.Add(wait).After(until) || q.outcomes.inVain(r.Customer) || !q.makePlace(&r) {
 		return nil, Refusal{Ahead: ahead, Wait: wait, RetryAfter: q.RetryAfter(now, r)}
 	}
 	w := &Waiter{Request: r, Ready: make(chan struct{}, 1), Until: until, QueuedAt: now, queued: true, round: q.round}
 	q.levelOf(w).push(w)
 	q.count++
 	q.bytes += r.Bytes
+	q.outcomes.begin(r.Customer)
 	return w, Refusal{Ahead: ahead, Wait: wait}
 }
 
@@ -337,6 +339,7 @@
 		return
 	}
 	tried := w.trying
+	q.outcomes.end(w.Customer, gotRoom)
 	if gotRoom {
 		q.levelOf(w).served(w)
 	}
--- a/internal/limit/share/share.go
+++ b/internal/limit/share/share.go
@@ -48,8 +48,6 @@
 	// minTwoRoundInstances is the minimum number of instances at which at least two
 	// rounds are assumed, as one round may leave out instances of other regions.
 	minTwoRoundInstances = 8
-	// roundingError is by how much the sum of two parts of a level may be too low.
-	roundingError = 1e-9
 	// minCapacity is the minimum capacity of a bucket, so that every instance can
 	// admit one request, however small its share.
 	minCapacity = 1.0
@@ -97,9 +95,6 @@
 // demandAt.
 type customerLimit struct {
 	bucket.Bucket
-	// refunded is the number of tokens that were returned. Together with those in the bucket,
-	// they are within its capacity.
-	refunded float64
 	limit    lacewingramp.Limit
 	share    float64
 	demand   float64
@@ -127,7 +122,6 @@
 		c.limit = l
 		c.updateBucket()
 		c.Level = math.Min(c.Level, c.Capacity)
-		c.boundRefunded()
 		r.customers[name] = c
 	}
 }
@@ -144,48 +138,17 @@
 	return c.demand * math.Exp(-now.Sub(c.demandAt).Seconds()/demandTimeConstant.Seconds())
 }
 
-// fill adds the tokens that have accrued.
-func (c *customerLimit) fill(now time.Time) {
-	c.Fill(now)
-	c.boundRefunded()
-}
-
-func (c *customerLimit) boundRefunded() {
-	c.refunded = math.Max(0, math.Min(c.refunded, c.Capacity-c.Level))
-}
-
 // Take takes a token for one request of a customer. A customer without a limit
 // is always admitted.
 func (r *RateLimiter) Take(now time.Time, customer string) bool {
-	return r.take(now, customer, true)
-}
-
-// TakeNew is like Take, but takes no token that was returned. If refused requests returned their
-// tokens to all others, a customer beyond its rate would have all its requests compete for
-// the room of those inside the rate, however they arrive.
-func (r *RateLimiter) TakeNew(now time.Time, customer string) bool {
-	return r.take(now, customer, false)
-}
-
-func (r *RateLimiter) take(now time.Time, customer string, refunded bool) bool {
 	c, ok := r.customers[customer]
 	if !ok {
 		return true
 	}
 	c.demand = c.currentDemand(now) + 1/demandTimeConstant.Seconds()
 	c.demandAt = now
-	c.fill(now)
-	minLevel := r.minLevel(now, customer, c)
-	if c.Take(minLevel) {
-		return true
-	}
-	if !refunded || c.Level+c.refunded-1 < minLevel-roundingError {
-		return false
-	}
-	used := math.Min(1, c.refunded)
-	c.refunded -= used
-	c.Level -= 1 - used
-	return true
+	c.Fill(now)
+	return c.Take(r.minLevel(now, customer, c))
 }
 
 // minLevel returns the level below which a bucket must not fall. An overdraft is
@@ -205,8 +168,7 @@
 // Refund returns the token of a request that did not run.
 func (r *RateLimiter) Refund(customer string) {
 	if c, ok := r.customers[customer]; ok {
-		c.refunded++
-		c.boundRefunded()
+		c.Level = math.Min(c.Capacity, c.Level+1)
 	}
 }
 
@@ -216,9 +178,7 @@
 	if !ok {
 		return 0
 	}
-	b := c.Bucket
-	b.Level += c.refunded
-	return b.Wait()
+	return c.Wait()
 }
 
 // Demand returns this instance's demand for the next heartbeat. It leaves out customers
@@ -268,7 +228,7 @@
 // proportion.
 func (r *RateLimiter) Tick(now time.Time) {
 	for name, c := range r.customers {
-		c.fill(now)
+		c.Fill(now)
 		old := c.share
 		c.recentDemand = append(c.recentDemand, c.currentDemand(now))
 		if excess := len(c.recentDemand) - r.rounds(); excess > 0 {
@@ -276,13 +236,10 @@
 		}
 		c.share = r.shareAt(now, name, c)
 		c.updateBucket()
-		if c.share < old && c.Level+c.refunded > 0 {
+		if c.share < old && c.Level > 0 {
 			// An overdraft is not reduced: those tokens have been used.
-			kept := (c.Level + c.refunded) * c.share / old
-			c.refunded *= c.share / old
-			c.Level = kept - c.refunded
+			c.Level *= c.share / old
 		}
-		c.boundRefunded()
 	}
 }
 
--- a/internal/steer/completion/completion.go
+++ b/internal/steer/completion/completion.go
@@ -33,6 +33,9 @@
 	punctualProbability = 0.5
 	// lateSurcharge is the part of the objective that is added to the cost of an end that is certainly late.
 	lateSurcharge = 1.0
+	// minGain is by how much more probable an end in time has to be at a later target of the ranking,
+	// which may have to become warm for the object first.
+	minGain = 0.3
 	// inTimeFraction is the fraction of the objective within which a request is expected to end
 	// in time, as the time of work varies.
 	inTimeFraction = 0.88
@@ -59,6 +62,8 @@
 	Mean      time.Duration
 	Objective time.Duration
 	Remaining time.Duration
+	// Named says that the request concerns an object, for which targets become warm.
+	Named bool
 }
 
 // Candidate is a target for a request. Warmth is the probability that it is warm for the object,
@@ -92,6 +97,8 @@
 	warmth   float64
 	class    class
 	removed  bool
+	// keepsOrder says that the order of the ranking is kept unless a later target is clearly better.
+	keepsOrder bool
 	// room is the expected time until a target at its limit could take the request.
 	room time.Duration
 }
@@ -129,6 +136,7 @@
 	}
 	surcharge := coldSurcharge * (work - float64(r.Work.Warm)*c.Factor)
 	e.cost = expected + time.Duration(surcharge+lateSurcharge*(1-e.punctual)*float64(r.Objective))
+	e.keepsOrder = r.Objective > 0 && r.Named
 	e.class = r.classOf(&c, &e, time.Duration(wait))
 	return e
 }
@@ -231,7 +239,8 @@
 }
 
 // Best returns the best candidate of a region: the first one that ends the request in time after a
-// short wait, otherwise the one of the best class with the lowest cost.
+// short wait, otherwise the one of the best class with the lowest cost, or for an object the first one
+// unless a later one is clearly better.
 func (s *Search) Best(region int) (best Estimated, ok bool) {
 	for i := range s.n {
 		e := &s.list[i]
@@ -241,13 +250,21 @@
 		if e.class == prompt {
 			return *e, true
 		}
-		if !ok || e.class < best.class || (e.class == best.class && e.cost < best.cost) {
+		if !ok || e.class < best.class || (e.class == best.class && e.betterThan(&best)) {
 			best, ok = *e, true
 		}
 	}
 	return best, ok
 }
 
+// betterThan reports whether a candidate of the same class is preferred to an earlier one.
+func (e *Estimated) betterThan(earlier *Estimated) bool {
+	if e.keepsOrder {
+		return e.punctual > earlier.punctual+minGain
+	}
+	return e.cost < earlier.cost
+}
+
 // Suitable reports whether the candidate is probably warm and probably ends the request in time.
 func (e *Estimated) Suitable() bool {
 	return e.punctual >= punctualProbability && e.warmth >= promptWarmth
--- a/internal/steer/placement/placement_completion.go
+++ b/internal/steer/placement/placement_completion.go
@@ -89,13 +89,18 @@
 		return Choice{}, false
 	}
 	w := walk{
-		now: now, service: s, route: route, targets: p.services[q.Service],
-		request: completion.Request{Work: route.work.Estimate(), Mean: s.mean, Objective: q.Objective, Remaining: q.Remaining},
+		maxWarm: targetsPerObject,
+		now:     now, service: s, route: route, targets: p.services[q.Service],
+		request: completion.Request{Work: route.work.Estimate(), Mean: s.mean, Objective: q.Objective, Remaining: q.Remaining, Named: q.Object != ""},
 	}
 	w.bodyTime = time.Duration(float64(q.Body) / bodyBandwidth * float64(time.Second))
 	for i := range min(len(s.regions), len(w.delays)) {
 		w.delays[i] = w.delay(p.HomeRegion, s.regions[i])
 	}
+	if len(q.RouteRegions)+len(q.CustomerRegions) > 0 {
+		// The targets of few regions have to be warm for all objects of the customer.
+		w.maxWarm = 1
+	}
 	if q.Object == "" {
 		w.first = int(p.rankingKey("") % uint64(max(1, len(w.targets))))
 	} else {
@@ -125,8 +130,10 @@
 	bodyTime time.Duration
 	delays   [completion.MaxRegions]time.Duration
 	usable   int
-	warm     int
-	indices  [maxConsidered]int
+	// warm is the number of warm targets that were considered, and maxWarm that after which no others are.
+	warm    int
+	maxWarm int
+	indices [maxConsidered]int
 }
 
 // delay returns the network delay to a region, with the time to send the body to another one.
@@ -183,7 +190,7 @@
 	if w.ranking != nil && !c.Doubtful && !t.cold(w.now) {
 		w.warm++
 	}
-	return w.search.Add(&w.request, w.request.Estimate(c)) && w.usable < maxConsidered && w.warm < targetsPerObject
+	return w.search.Add(&w.request, w.request.Estimate(c)) && w.usable < maxConsidered && w.warm < w.maxWarm
 }
 
 // warmthAt returns the probability that a target is warm for the object.
