--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -82,6 +82,10 @@
 	Bandwidth float64
 	// Memory is the memory limit of the process in bytes, 0 if unknown.
 	Memory int64
+	// MaxDescriptors is the maximum number of open file descriptors, 0 if unknown.
+	MaxDescriptors int
+	// Usage is set if the instances report usage, nil if not.
+	Usage *UsageSettings
 }
 
 // Store is the part of the platform's store that an instance uses.
@@ -105,6 +109,8 @@
 	Meter           Meter
 	// Dialer opens the connections to targets. If it is nil, those of the system are used.
 	Dialer lacewingramp.Dialer
+	// Usage is set if the settings have Usage.
+	Usage *UsageDependencies
 }
 
 // Meter records the metrics of an instance.
@@ -132,9 +138,22 @@
 	// StoreCheck counts a check of the store by an instance that follows a peer, and whether
 	// the store answered.
 	StoreCheck(answered bool)
+	// AdmissionWait records that a request of a priority class ended its wait for room at a
+	// target, and whether it got any.
+	AdmissionWait(class int, gotRoom bool, took time.Duration)
+	// AdmissionQueue records the number of requests of a priority class that wait for room.
+	AdmissionQueue(class, waiting int)
 	// Unconfirmed records how long ago the instance's copy of the store's keys was last
 	// known to be complete.
 	Unconfirmed(age time.Duration)
+	// EstimateError records by how many requests the estimate of the requests at a target
+	// differs from a new report of that target, on the average.
+	EstimateError(requests float64)
+	// UsageReport counts a usage window that was sent, sent late or given up.
+	UsageReport(outcome string)
+	// UsageLeaseAge records how long ago the lease of the duty of usage reports was renewed,
+	// 0 at all instances but the holder.
+	UsageLeaseAge(age time.Duration)
 }
 
 // Edge is an instance. expired maps targets whose registration expired during a store
@@ -166,6 +185,8 @@
 
 	socket   *heartbeat.Socket
 	restored chan struct{}
+	// usage is nil if the instances do not report usage.
+	usage *usageState
 
 	mu     sync.Mutex
 	self   lacewingramp.Endpoint
@@ -192,13 +213,16 @@
 	expired       map[string]time.Time
 	reverted      map[string]time.Time
 	probes        map[string]*probe
-	reach         reach.Monitor
+	// resetAt maps services to the latest time when a target closed a new connection.
+	resetAt map[string]time.Time
+	reach   reach.Monitor
 	// reachCheck is closed when the check of the targets that is in progress ends. It is
 	// nil if there is none.
 	reachCheck chan struct{}
 	// requestRate is the moving average of the requests received per second.
 	requestRate float64
 	lookupCache lookupCache
+	admission   admissionState
 	store       storeState
 	// tickedAt is when the last tick ran, and resumedAt when the first one ran after a pause
 	// of the process.
@@ -222,6 +246,7 @@
 	}
 	e.relayServer = caller.Server{Handle: e.handleRelayed, Bounds: e.relayBounds, OnMalformed: e.logMalformed}
 	e.server = caller.Server{Handle: e.handle, Bounds: e.bounds, OnMalformed: e.logMalformed}
+	e.boundCallers()
 	e.placer = placement.Placer{Self: s.Name, Regions: s.Regions, HomeRegion: s.Region}
 	if !s.Bootstrap {
 		e.placer.StartedAt = now
@@ -238,8 +263,10 @@
 	e.reverted = make(map[string]time.Time)
 	e.restored = make(chan struct{}, 1)
 	e.probes = make(map[string]*probe)
+	e.resetAt = make(map[string]time.Time)
 	e.peers = heartbeat.Peers{Self: s.Name, Region: s.Region, Regions: s.Regions}
 	e.store.interrupt = func() {}
+	e.usage = newUsage(s, d, e.self.StartMillis)
 	return e
 }
 
@@ -271,9 +298,11 @@
 	if relayListener != nil {
 		wg.Go(func() { e.logServeError(e.relayServer.Serve(relayListener), "serving relayed requests") })
 	}
+	e.runUsage(background, wg.Go)
 	stopTicks := e.Timer.Every(heartbeat.Period, func(now time.Time) { e.tick(background, now) })
 	<-ctx.Done()
 	e.stop(callerListener)
+	e.tickUsage(true)
 	stopTicks()
 	cancel()
 	_ = peerListener.Close()
@@ -328,7 +357,3 @@
 	}
 	return *m.Table.Bounds
 }
-
-func (e *Edge) logMalformed(remote string, err error) {
-	e.Log.Info().Str("from", remote).Err(err).Msg("refused a malformed request")
-}
--- a/internal/entry/edge/edge_admit.go
+++ b/internal/entry/edge/edge_admit.go
@@ -8,6 +8,7 @@
 	"lacewingramp.example/lacewingramp"
 	"lacewingramp.example/lacewingramp/internal/call/message"
 	"lacewingramp.example/lacewingramp/internal/call/poison"
+	"lacewingramp.example/lacewingramp/internal/limit/admission"
 )
 
 // Delays after which a refused caller may retry, by cause.
@@ -47,7 +48,10 @@
 	rank           int
 	attempts       int
 	failedConnects int
-	tokenRequests  int
+	// refusedConnects counts the targets that closed the connection before the request was
+	// written.
+	refusedConnects int
+	tokenRequests   int
 	// relayed is set if another instance has relayed the request to this one, and
 	// triedRelays once this one has tried to relay it.
 	relayed     bool
@@ -61,6 +65,16 @@
 	// better one.
 	fallback *message.Response
 	allFull  bool
+	// returned is set if the caller was refused before and has returned. noRoom is set if the
+	// latest choice found no target with room, deferred if it let others go first, and roomIn is the time until one has, 0
+	// if not known. waiter is set while the request waits for room, and room describes the
+	// latest wait or refusal.
+	returned bool
+	noRoom   bool
+	deferred bool
+	roomIn   time.Duration
+	waiter   *admission.Waiter
+	room     roomReport
 	// received holds the responses of targets and of other instances.
 	received []*message.Response
 	// pauseLeft is the time to the end of the first pause of a target, if no other target
@@ -121,8 +135,8 @@
 	if resp := e.resolve(j); resp != nil {
 		return resp
 	}
-	if wait, err := e.takeQuota(ctx, j.customerName()); err != nil {
-		return e.refuse(j, http.StatusTooManyRequests, lacewingramp.CauseRate, wait, "over the customer's rate: "+err.Error())
+	if wait, err := e.takeQuota(ctx, j); err != nil {
+		return e.refuse(j, http.StatusTooManyRequests, lacewingramp.CauseRate, e.rateRetryAfter(j, wait), "over the customer's rate: "+err.Error())
 	}
 	return e.guard(j)
 }
--- a/internal/entry/edge/edge_heartbeat.go
+++ b/internal/entry/edge/edge_heartbeat.go
@@ -43,12 +43,15 @@
 	e.removeExpired(now)
 	e.settleReverted(now)
 	e.tickRollouts(ctx, now)
+	e.wakeWaiting(now)
 	ownRegion, otherRegions := e.peers.NextRound()
 	regional := e.newHeartbeat(now)
 	interRegion := *regional
 	regional.Demand = e.quota.Encode(e.quota.Demand(now))
 	region, instances := e.quota.Sum(now, e.regionPeers(now))
 	interRegion.Demand, interRegion.Sum = e.quota.Encode(region), instances
+	regional.TargetLoads, interRegion.TargetLoads = e.placer.TargetLoads(now)
+	e.Meter.EstimateError(e.placer.EstimateError(now))
 	e.mu.Unlock()
 	e.client.Sweep(now)
 	e.relayClient.Sweep(now)
@@ -56,6 +59,7 @@
 	if err := errors.Join(e.socket.Send(&lacewingramp.Datagram{Heartbeat: regional}, ownRegion), e.socket.Send(&lacewingramp.Datagram{Heartbeat: &interRegion}, otherRegions)); err != nil {
 		e.Log.Error().Err(err).Msg("could not send a heartbeat")
 	}
+	e.tickUsage(false)
 	e.catchUp(ctx, now)
 	e.checkStore(ctx, now)
 }
@@ -81,6 +85,7 @@
 		ReachesStore: !e.store.lost, WatchesStore: e.watches(now), CutOff: e.reach.CutOff(), RequestRate: float32(e.requestRate),
 		CrashCounts: e.poisonGuard.HeartbeatCounts(now), RolloutStats: e.rolloutStats(now), Outcomes: e.rollouts.Outcomes(now),
 		Confirmation: e.latestConfirmation(now), LeavingTargets: e.placer.LeavingTargets(now), SlowTargets: e.placer.SlowTargets(now),
+		UsageDuty: e.usageDuty(),
 	}
 }
 
@@ -103,6 +108,7 @@
 	switch {
 	case d.Heartbeat != nil:
 		e.handleHeartbeat(d.Heartbeat)
+		e.handleUsage(d)
 	case d.TokenRequest != nil:
 		e.handleTokenRequest(d.TokenRequest, from)
 	case d.TokenReply != nil:
@@ -134,6 +140,7 @@
 	for _, s := range h.SlowTargets {
 		e.placer.MarkSlow(now, s, h.Endpoint.Domain)
 	}
+	e.placer.RecordTargetLoads(now, h.TargetLoads, h.Endpoint.Domain)
 	e.handleDemand(h)
 	e.poisonGuard.Merge(now, h.CrashCounts)
 	adopted := e.rollouts.Record(h.RolloutStats, h.Outcomes)
--- a/internal/proof/emulator/emulator.go
+++ b/internal/proof/emulator/emulator.go
@@ -22,80 +22,6 @@
 	"time"
 )
 
-// Scenario describes a deployment and its load. Slots is the maximum number of
-// requests that a target processes concurrently, MaxQueued the maximum number that
-// wait there. Callers send requests for LoadDuration. The simulation then continues
-// until all of them have ended.
-type Scenario struct {
-	Name        string
-	Description string
-	// Targets is the number of targets in each region.
-	Targets []int
-	// InstancesPerRegion is the same for all regions.
-	InstancesPerRegion int
-	Slots              int
-	MaxQueued          int
-	// CacheSize is the number of objects that a target caches.
-	CacheSize int
-	// ObjectsPerRegion is the number of objects that a region's callers request.
-	ObjectsPerRegion int
-	// RequestRate is the number of requests a second from each region's callers.
-	RequestRate float64
-	// BoundFractions holds, for each region, the fraction of all requests that only its
-	// targets may serve. It may be shorter than Targets.
-	BoundFractions []float64
-	// ProcessingTime is the mean processing time of a request for an object that the
-	// target has not cached. CacheHitSavings is the fraction of this time that is saved
-	// if the object is cached.
-	ProcessingTime  time.Duration
-	CacheHitSavings float64
-	// LatencyObjective is the latency up to which a response is in time. Timeout is the
-	// latency at which an instance cancels a request, which has then failed. Responses
-	// between the two are late. A target drops a request that is cancelled.
-	LatencyObjective time.Duration
-	Timeout          time.Duration
-	// InterRegionLatency is the one-way network latency between two regions.
-	InterRegionLatency time.Duration
-	LoadDuration       time.Duration
-	// During an outage, from OutageFrom until OutageUntil, no instance accepts
-	// requests. There is no outage if OutageUntil is 0.
-	OutageFrom  time.Duration
-	OutageUntil time.Duration
-	// RemovedTargets is the number of targets that stop permanently at RemovedAt.
-	RemovedTargets int
-	RemovedAt      time.Duration
-	// SlowTargets is the number of targets, spread over all regions, that process a request
-	// SlowFactor times as long from SlowFrom until SlowUntil.
-	SlowTargets int
-	SlowFactor  float64
-	SlowFrom    time.Duration
-	SlowUntil   time.Duration
-}
-
-// Result counts the outcomes of the callers' requests. Each request has exactly one
-// outcome: InTime if it was answered within the latency objective, Late if within the
-// timeout, Failed if it was cancelled then, and Refused if it was refused and its retry too.
-type Result struct {
-	Requests int
-	InTime   int
-	Late     int
-	Refused  int
-	Failed   int
-	// CrossRegion is the number of requests that a target in another region answered.
-	CrossRegion int
-	// CacheHits is the number of requests whose target had cached their object.
-	// Processed is the number of all requests that a target processed.
-	CacheHits int
-	Processed int
-	// InTimeRatios has an element for each window of 2 s (WindowLength): of the
-	// answered requests that were sent in the window, the fraction that was answered
-	// in time. Windows without answered requests are left out.
-	InTimeRatios []float64
-}
-
-// WindowLength is the length of the windows of Result.InTimeRatios.
-const WindowLength = 2 * time.Second
-
 const (
 	sameRegionLatency = 200 * time.Microsecond
 	// maxProcessingDeviation is the maximum deviation of a request's processing time
@@ -126,10 +52,14 @@
 	now          time.Time
 	events       events
 	sequence     int
+	attempts     int
 	targets      []*target
 	byName       map[string]*target
 	result       Result
 	windowCounts [][2]int
+	// shifts holds, for each window and region of callers, the number of requests that each
+	// region answered.
+	shifts [][][]int
 }
 
 // target is a simulated target. useCount is the number of requests that it has begun
@@ -145,6 +75,8 @@
 	removed  bool
 	// mayBeSlow is set for the targets that are slow for a while.
 	mayBeSlow bool
+	// noisy is set while the target is slow by Scenario.Noise.
+	noisy bool
 }
 
 // drop removes a waiting request.
@@ -161,9 +93,12 @@
 // caller sends it for the second time, after a refusal. ended is set once it has been answered or
 // cancelled, and running while a target processes it.
 type request struct {
-	object   string
-	region   int
-	boundTo  int
+	object  string
+	kind    *Kind
+	region  int
+	boundTo int
+	// attempt numbers the attempts of all requests.
+	attempt  int
 	instance int
 	sentAt   time.Time
 	tried    []string
@@ -192,8 +127,12 @@
 	}
 	p.Init(sim.topology(), sim.random)
 	sim.windowCounts = make([][2]int, int(s.LoadDuration/WindowLength)+1)
-	for region := range s.Targets {
-		sim.scheduleArrival(region)
+	if len(s.Kinds) > 0 {
+		sim.scheduleKinds()
+	} else {
+		for region := range s.Targets {
+			sim.scheduleArrival(region)
+		}
 	}
 	if s.RemovedTargets > 0 {
 		sim.at(s.RemovedAt, sim.removeTargets)
@@ -281,7 +220,7 @@
 	}
 	name := ""
 	if len(r.tried) < maxAttempts {
-		name = sim.policy.Choose(sim.now, r.instance, Request{Object: r.object, BoundTo: r.boundTo, Tried: r.tried})
+		name = sim.policy.Choose(sim.now, r.instance, sim.describe(r))
 	}
 	if name == "" {
 		sim.refuse(r)
@@ -291,7 +230,7 @@
 	t := sim.find(name)
 	attempt := len(r.tried)
 	retried := r.retried
-	sim.at(r.sentAt.Add(sim.Timeout).Sub(startTime), func() {
+	sim.at(r.sentAt.Add(sim.timeoutOf(r)).Sub(startTime), func() {
 		if !r.ended && r.retried == retried && len(r.tried) == attempt {
 			sim.cancel(r, t)
 		}
@@ -302,8 +241,8 @@
 // cancel ends a request at its timeout. The target drops it when it learns of that.
 func (sim *simulation) cancel(r *request, t *target) {
 	r.ended = true
-	sim.result.Failed++
-	sim.policy.Done(sim.now, r.instance, Response{Target: t.name, Cancelled: true, Took: sim.now.Sub(r.chosenAt)})
+	sim.count(r, &sim.result.Failed)
+	sim.policy.Done(sim.now, r.instance, Response{Target: t.name, Attempt: r.attempt, Route: routeOf(r), Cancelled: true, Took: sim.now.Sub(r.chosenAt)})
 	sim.after(sim.latency(r, t), func() {
 		if r.running {
 			r.running = false
@@ -331,7 +270,7 @@
 func (sim *simulation) refuse(r *request) {
 	if r.retried {
 		r.ended = true
-		sim.result.Refused++
+		sim.count(r, &sim.result.Refused)
 		return
 	}
 	r.retried = true
@@ -357,16 +296,16 @@
 func (sim *simulation) process(r *request, t *target) {
 	t.running++
 	r.running = true
-	processing := float64(sim.ProcessingTime) * (1 + maxProcessingDeviation*(2*sim.random.Float64()-1))
+	processing := sim.processingTime(r, t) * (1 + maxProcessingDeviation*(2*sim.random.Float64()-1))
 	if t.useObject(r.object, sim.CacheSize) {
 		processing *= 1 - sim.CacheHitSavings
-		sim.result.CacheHits++
+		sim.count(r, &sim.result.CacheHits)
 	}
 	elapsed := sim.now.Sub(startTime)
 	if t.mayBeSlow && elapsed >= sim.SlowFrom && elapsed < sim.SlowUntil {
 		processing *= sim.SlowFactor
 	}
-	sim.result.Processed++
+	sim.count(r, &sim.result.Processed)
 	sim.after(time.Duration(processing), func() {
 		if !r.running {
 			return
@@ -408,13 +347,14 @@
 // respond sends a target's response to the instance, with the target's current load.
 // If the target did not process the request, the instance tries another target.
 func (sim *simulation) respond(r *request, t *target, processed bool) {
-	running, waiting := t.running, len(t.waiting)
+	running, waiting, percent := t.running, len(t.waiting), sim.workPercent(t)
 	sim.after(sim.latency(r, t), func() {
 		if r.ended {
 			return
 		}
 		sim.policy.Done(sim.now, r.instance, Response{
 			Target: t.name, Processed: processed, Removed: t.removed, Took: sim.now.Sub(r.chosenAt), Running: running, Waiting: waiting,
+			Attempt: r.attempt, Route: routeOf(r), WorkPercent: percent,
 		})
 		if !processed {
 			sim.dispatch(r)
@@ -427,53 +367,26 @@
 func (sim *simulation) recordResponse(r *request, t *target) {
 	r.ended = true
 	if r.region != t.region {
-		sim.result.CrossRegion++
+		sim.count(r, &sim.result.CrossRegion)
 	}
+	sim.recordRegion(r, t)
 	latency := sim.now.Sub(r.sentAt)
 	window := &sim.windowCounts[int(r.sentAt.Sub(startTime)/WindowLength)]
 	window[0]++
-	if latency <= sim.LatencyObjective {
-		sim.result.InTime++
+	if latency <= sim.objectiveOf(r) {
+		sim.count(r, &sim.result.InTime)
 		window[1]++
 		return
 	}
-	sim.result.Late++
+	sim.count(r, &sim.result.Late)
 }
 
 func (sim *simulation) summarize() Result {
-	for _, c := range sim.windowCounts {
-		if c[0] > 0 {
+	for w, c := range sim.windowCounts {
+		if c[0] > 0 && time.Duration(w)*WindowLength >= sim.CountFrom {
 			sim.result.InTimeRatios = append(sim.result.InTimeRatios, float64(c[1])/float64(c[0]))
 		}
 	}
+	sim.summarizeRegions()
 	return sim.result
 }
-
-// event is a call of f at a point in virtual time.
-type event struct {
-	at       time.Time
-	sequence int
-	f        func()
-}
-
-// events is a heap of events ordered by time. Events at the same time are ordered by
-// sequence, the order in which they were scheduled.
-type events []event
-
-func (e events) Len() int      { return len(e) }
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e events) Less(i, j int) bool {
-	if e[i].at.Equal(e[j].at) {
-		return e[i].sequence < e[j].sequence
-	}
-	return e[i].at.Before(e[j].at)
-}
-
-// Pop removes the last element, as heap.Interface requires.
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
--- a/internal/report/meter/meter.go
+++ b/internal/report/meter/meter.go
@@ -25,6 +25,7 @@
 	connections  *metrics.Counter
 	droppedLines *metrics.Counter
 	unconfirmed  *metrics.Gauge
+	loadError    *metrics.Gauge
 }
 
 // New returns a Meter with all metrics at zero.
@@ -36,6 +37,7 @@
 		connections:  s.NewCounter("lacewingramp_target_connections_total"),
 		droppedLines: s.NewCounter("lacewingramp_log_lines_dropped_total"),
 		unconfirmed:  s.NewGauge("lacewingramp_store_unconfirmed_seconds", nil),
+		loadError:    s.NewGauge("lacewingramp_target_estimate_error_requests", nil),
 	}
 }
 
@@ -93,12 +95,40 @@
 	m.set.GetOrCreateCounter(`lacewingramp_store_checks_total{ok="` + strconv.FormatBool(answered) + `"}`).Inc()
 }
 
+// AdmissionWait records that a request of a priority class ended its wait for room at a target,
+// and whether it got any.
+func (m *Meter) AdmissionWait(class int, gotRoom bool, took time.Duration) {
+	m.set.GetOrCreateHistogram(`lacewingramp_admission_wait_seconds{class="` + strconv.Itoa(class) + `",room="` + strconv.FormatBool(gotRoom) + `"}`).Update(took.Seconds())
+}
+
+// AdmissionQueue records the number of requests of a priority class that wait for room.
+func (m *Meter) AdmissionQueue(class, waiting int) {
+	m.set.GetOrCreateGauge(`lacewingramp_admission_queue{class="`+strconv.Itoa(class)+`"}`, nil).Set(float64(waiting))
+}
+
 // Unconfirmed records how long ago the instance's copy of the store's keys was last known
 // to be complete.
 func (m *Meter) Unconfirmed(age time.Duration) {
 	m.unconfirmed.Set(age.Seconds())
 }
 
+// EstimateError records by how many requests the estimate of the requests at a target differs from
+// a new report of that target, on the average.
+func (m *Meter) EstimateError(requests float64) {
+	m.loadError.Set(requests)
+}
+
+// UsageReport counts a usage window that was sent, sent late or given up.
+func (m *Meter) UsageReport(outcome string) {
+	m.set.GetOrCreateCounter(`lacewingramp_usage_windows_total{outcome="` + outcome + `"}`).Inc()
+}
+
+// UsageLeaseAge records how long ago the lease of the duty of usage reports was renewed, 0 at all
+// instances but the holder.
+func (m *Meter) UsageLeaseAge(age time.Duration) {
+	m.set.GetOrCreateGauge("lacewingramp_usage_lease_age_seconds", nil).Set(age.Seconds())
+}
+
 // LogLinesDropped counts log lines that were lost because the log buffer was full.
 func (m *Meter) LogLinesDropped(n int) {
 	m.droppedLines.Add(n)
--- a/internal/steer/placement/placement_target.go
+++ b/internal/steer/placement/placement_target.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lacewingramp.example/lacewingramp"
+	"lacewingramp.example/lacewingramp/internal/steer/capacity"
 )
 
 const (
@@ -32,11 +33,17 @@
 // load includes. addressTaken says that another target responds at the address.
 type target struct {
 	lacewingramp.TargetRegistration
+	// chosen is the copy of the registered target that choices by completion time refer to. It is
+	// replaced with each registration and never changed.
+	chosen    *lacewingramp.Target
 	region    string
 	hash      uint64
 	inflight  int
 	suspicion suspicion
 	throttle  concurrencyLimit
+	capacity  capacity.Target
+	// ownReport is the number of the latest report to this instance, see sharing.
+	ownReport int
 
 	load           lacewingramp.TargetLoad
 	loadAt         time.Time
@@ -76,10 +83,14 @@
 func (t *target) begin(now time.Time) {
 	t.inflight++
 	t.throttle.lastBeganAt = now
+	t.capacity.Sent(now)
 }
 
-// end ends a request that was in flight.
-func (t *target) end() {
+// end ends a request that was in flight. A zero time stands for that of the latest change.
+func (t *target) end(now time.Time) {
+	if t.inflight > 0 {
+		t.capacity.Ended(now)
+	}
 	t.inflight = max(0, t.inflight-1)
 }
 
