--- a/internal/operator/command/cmd_serve.go
+++ b/internal/operator/command/cmd_serve.go
@@ -103,8 +103,7 @@
 			return err
 		}
 	}
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer cancel()
+	ctx := notifyStop()
 	go c.checkOnHangup(hangup, s, log)
 	log.Info().Str("domain", s.Domain).Str("callers", s.CallerAddress).Str("store", s.Store).Msg("started")
 	return e.Run(ctx)
@@ -143,6 +142,19 @@
 	return nil
 }
 
+// notifyStop returns a context that ends at the first signal to stop. Further ones are ignored for
+// the lifetime of the process: they would terminate it before it has stopped gracefully.
+func notifyStop() context.Context {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGTERM, os.Interrupt)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-c
+		cancel()
+	}()
+	return ctx
+}
+
 // notifyHangup returns a channel that receives SIGHUP for the lifetime of the
 // process. An unhandled SIGHUP would terminate the process, even during a graceful
 // stop.
