Try another peer when one could not read a relayed request

Cause: a peer that refuses a relayed request before it has read it whole, for lack of memory for its body or because it is stopping, does not know the request's ID and responds without one. On a connection whose earlier responses had IDs, the relaying instance took this for a response that is not to be trusted, and the outcome for unknown: the request was neither relayed to another peer nor refused as not run, but ended with 502 or 504.

Change: relayed requests accept a response without an ID. Instances send one request at a time on a connection, and only a response that was sent before the request was handled has none.

Measured: the new test fails without the change (outcome RelayLost in place of RelayUnavailable) and passes with it. In the run of all tests of internal/entry/edge, "keeps returned tokens for callers that return" failed once of 108; it doesn't relay.

--- a/internal/call/exchange/exchange.go
+++ b/internal/call/exchange/exchange.go
@@ -82,6 +82,9 @@
 	// DetectRefusals asks for two more signs that the target has not begun the request: that
 	// it has already closed a new connection, and the head of a refusal whose body is lost.
 	DetectRefusals bool
+	// AllowMissingID says that a response without an ID is one to the request, also if
+	// earlier responses on the connection had IDs.
+	AllowMissingID bool
 }
 
 // Result is the outcome of a TargetRequest. Response is nil if no complete response
@@ -217,7 +220,7 @@
 			return result
 		}
 		headers := c.HeaderCodec.ResponseHeaders(resp.Status, resp.Header)
-		if headers.ID == "" && conn.sendsIDs && req.ID != "" {
+		if headers.ID == "" && conn.sendsIDs && req.ID != "" && !req.AllowMissingID {
 			resp.Release()
 			result.Err = errors.New("the target sent a response without an ID")
 			return result
--- a/internal/entry/edge/edge_relay.go
+++ b/internal/entry/edge/edge_relay.go
@@ -109,8 +109,9 @@
 	h := maps.Clone(j.request.Header)
 	message.RemoveHopByHopHeaders(h)
 	h[headerRelayed] = []string{string(value)}
+	// A peer that has not read the request whole does not know its ID.
 	r := e.relayClient.Do(ctx, exchange.TargetRequest{
-		Address: p.Relay, Request: j.request, Header: h, ID: j.headers.ID, NonIdempotent: !j.route.Idempotent,
+		Address: p.Relay, Request: j.request, Header: h, ID: j.headers.ID, NonIdempotent: !j.route.Idempotent, AllowMissingID: true,
 	})
 	j.received = append(j.received, r.Response)
 	e.recordRelayLeaving(j, p.Name, r.Response)
