Measure the idle time of callers' connections by the monotonic clock

Cause: the last activity of a connection was kept as wall-clock time. After a step backwards, a connection counted as active until the clock had caught up, so that none was replaced and new ones beyond the maximum were closed; after a step forwards, one counted as idle that was not.

Change: the last activity is kept as the time since the connection was accepted. The comment on maxInFlight of usage.Counter said that further attempts are counted when they end; they are not counted. Long comment lines are wrapped.

Measured: tests of internal/call/caller and internal/report/usage pass with -race. No test steps the wall clock, which the process cannot do.

--- a/internal/call/caller/caller.go
+++ b/internal/call/caller/caller.go
@@ -44,7 +44,8 @@
 
 // Handler returns the response to a request whose first byte arrived at
 // receivedAt. The request is released once the Handler has returned, and the response once
-// it has been sent. A nil response closes the connection. ctx is cancelled when the caller disconnects.
+// it has been sent. A nil response closes the connection. ctx is cancelled when the caller
+// disconnects.
 type Handler func(ctx context.Context, r *message.Request, receivedAt time.Time) *message.Response
 
 // Server serves callers' connections. Its fields must be set before Serve.
@@ -133,16 +134,17 @@
 	delete(s.connections, c)
 }
 
-// connection is one connection of a caller. lastActive is when it last received bytes or sent a
-// response, in nanoseconds since 1970. inflight is the number of requests that
-// were read and whose response has not been sent. reading is set from the first byte
-// of a request until it has been read. ending is set once no further request is handled, if
-// one is: the last response closes the connection. closed is set once no further response
-// may be sent.
+// connection is one connection of a caller. openedAt is when it was accepted, and lastActive
+// how long after that it last received bytes or sent a response, in nanoseconds. inflight is
+// the number of requests that were read and whose response has not been sent. reading is set
+// from the first byte of a request until it has been read. ending is set once no further
+// request is handled, if one is: the last response closes the connection. closed is set once
+// no further response may be sent.
 type connection struct {
 	server     *Server
 	conn       net.Conn
 	reader     *message.Reader
+	openedAt   time.Time
 	lastActive atomic.Int64
 
 	mu       sync.Mutex
@@ -269,7 +271,7 @@
 	closeAfter := r.Close || resp.Close || (c.ending && c.inflight == 0)
 	resp.Close = closeAfter
 	c.writeResponseLocked(resp, r.Method)
-	c.lastActive.Store(time.Now().UnixNano())
+	c.recordActivity()
 	if closeAfter {
 		c.closeGracefullyLocked()
 		return
--- a/internal/call/caller/limit.go
+++ b/internal/call/caller/limit.go
@@ -13,8 +13,7 @@
 const minIdleTime = 500 * time.Millisecond
 
 func newConnection(s *Server, conn net.Conn) *connection {
-	c := &connection{server: s, conn: conn}
-	c.lastActive.Store(time.Now().UnixNano())
+	c := &connection{server: s, conn: conn, openedAt: time.Now()}
 	c.reader = message.NewReader(activityReader{c})
 	c.reader.Requests = s.Requests
 	// The deadline is set anew for each request.
@@ -30,11 +29,22 @@
 func (a activityReader) Read(p []byte) (int, error) {
 	n, err := a.connection.conn.Read(p)
 	if n > 0 {
-		a.connection.lastActive.Store(time.Now().UnixNano())
+		a.connection.recordActivity()
 	}
 	return n, err
 }
 
+// recordActivity records that the connection is in use now.
+func (c *connection) recordActivity() {
+	c.lastActive.Store(int64(time.Since(c.openedAt)))
+}
+
+// idleTime returns how long the connection has not been in use. It is not affected by steps of
+// the wall clock.
+func (c *connection) idleTime(now time.Time) time.Duration {
+	return now.Sub(c.openedAt) - time.Duration(c.lastActive.Load())
+}
+
 // add adds a connection, and reports false if there are too many.
 func (s *Server) add(c *connection) bool {
 	s.mu.Lock()
@@ -53,10 +63,10 @@
 // which no request is being handled. It reports false if there is none.
 func (s *Server) closeIdlestLocked(now time.Time) bool {
 	var idlest *connection
-	oldest := now.Add(-minIdleTime).UnixNano()
+	longest := minIdleTime
 	for c := range s.connections {
-		if at := c.lastActive.Load(); at <= oldest && !c.handling() {
-			idlest, oldest = c, at
+		if idle := c.idleTime(now); idle >= longest && !c.handling() {
+			idlest, longest = c, idle
 		}
 	}
 	if idlest == nil {
--- a/internal/report/usage/counter.go
+++ b/internal/report/usage/counter.go
@@ -14,8 +14,7 @@
 	workWeight = 0.1
 	// maxWork bounds the usual work of a route.
 	maxWork = 30 * time.Second
-	// maxInFlight bounds the attempts that are tracked. Further ones are counted as begun
-	// when they end.
+	// maxInFlight bounds the attempts that are tracked. Further ones are not counted.
 	maxInFlight = 100_000
 )
 
