Count the names of former customers in the size of usage messages

Cause: the bound of the bytes of usage counts omitted the counts that are sent by name, of customers that are no longer in the table. With up to 1,000 of them in a window, an instance sent many times its share until the windows were over.

Change: windowSize includes them. Names in edge_usage*.go are the usual ones: oneWayDelays for ways, budgetUsedUntil for paidUntil, reportTask for work.

--- a/internal/entry/edge/edge_usage.go
+++ b/internal/entry/edge/edge_usage.go
@@ -50,12 +50,13 @@
 	usageInterval = 2 * time.Second
 	usageFleet    = 300
 	// usageBytesPerSecond bounds what an instance sends on average, of which it may send
-	// maxAdvance ahead for settled counts. usageMessageBytes is the size of a message without
+	// maxBudgetAdvance ahead for settled counts. usageMessageBytes is the size of a message without
 	// counts, with the headers of its packet.
 	usageBytesPerSecond = 480
-	maxAdvance          = 2500 * time.Millisecond
+	maxBudgetAdvance    = 2500 * time.Millisecond
 	usageMessageBytes   = 200
 	usageWindowBytes    = 16
+	usageOtherBytes     = 6
 	// usageSettleFraction times MaxDelay is how long after its end a window waits for attempts in
 	// flight.
 	usageSettleFraction = 0.25
@@ -68,8 +69,8 @@
 	finalSpread    = 500 * time.Millisecond
 	maxFinalSpread = 2 * time.Second
 	resendSpread   = time.Second
-	// maxWays bounds the number of addresses whose network delay is kept.
-	maxWays = 8192
+	// maxDelays bounds the number of addresses whose network delay is kept.
+	maxDelays = 8192
 )
 
 // usageState is the state of usage reports of an instance. mu guards what follows it; it may be
@@ -84,8 +85,8 @@
 	ledger  usage.Ledger
 	reports usage.Reports
 	names   usage.Names
-	// ways maps addresses of targets to the shortest time that connecting took, halved.
-	ways map[string]time.Duration
+	// oneWayDelays maps addresses of targets to the shortest time that connecting took, halved.
+	oneWayDelays map[string]time.Duration
 
 	holder duty.Holder
 	// duty is the latest known holder's announcement, and dutyHolder its name.
@@ -103,9 +104,9 @@
 	lastSend  time.Time
 	finalSent map[int64]int
 	// finalPart is the part of the spread after which this instance sends settled counts, and
-	// paidUntil until when the bytes that it has sent use up usageBytesPerSecond.
-	finalPart float64
-	paidUntil time.Time
+	// budgetUsedUntil until when the bytes that it has sent use up usageBytesPerSecond.
+	finalPart       float64
+	budgetUsedUntil time.Time
 }
 
 // newUsage returns the state of usage reports, nil if these are off.
@@ -115,7 +116,7 @@
 	}
 	u := &usageState{
 		UsageSettings: *s.Usage, UsageDependencies: *d.Usage, self: usage.Source{Name: s.Name, StartMillis: startMillis},
-		ways: make(map[string]time.Duration), finalSent: make(map[int64]int), finalPart: rand.Float64(), oldReports: make(map[string]time.Time),
+		oneWayDelays: make(map[string]time.Duration), finalSent: make(map[int64]int), finalPart: rand.Float64(), oldReports: make(map[string]time.Time),
 	}
 	u.counter = usage.Counter{Window: u.Window, Retention: u.MaxDelay, SettleTimeout: time.Duration(usageSettleFraction * float64(u.MaxDelay))}
 	u.ledger = usage.Ledger{Window: u.Window, Retention: u.MaxDelay}
@@ -133,7 +134,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return u.counter.Start(usage.Attempt{
-		Customer: j.customerName(), Route: j.route.Name, SentAt: u.Now().Add(sentAt.Sub(e.Timer.Now())), OneWay: u.ways[c.Target.Address],
+		Customer: j.customerName(), Route: j.route.Name, SentAt: u.Now().Add(sentAt.Sub(e.Timer.Now())), OneWay: u.oneWayDelays[c.Target.Address],
 		Load: c.Load - 1/float64(max(1, c.Target.Slots)), Slots: c.Target.Slots,
 	})
 }
@@ -147,21 +148,21 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if r.Connecting > 0 {
-		u.recordWay(c.Target.Address, r.Connecting/2)
+		u.recordDelay(c.Target.Address, r.Connecting/2)
 	}
 	u.counter.End(u.Now(), id, usage.Result{
-		Outcome: r.Verdict, Load: r.ResponseHeaders.TargetLoad, OneWay: u.ways[c.Target.Address], Connecting: r.Connecting,
+		Outcome: r.Verdict, Load: r.ResponseHeaders.TargetLoad, OneWay: u.oneWayDelays[c.Target.Address], Connecting: r.Connecting,
 	})
 }
 
-func (u *usageState) recordWay(address string, way time.Duration) {
-	if known, ok := u.ways[address]; ok && known <= way {
+func (u *usageState) recordDelay(address string, delay time.Duration) {
+	if known, ok := u.oneWayDelays[address]; ok && known <= delay {
 		return
 	}
-	if len(u.ways) >= maxWays {
-		clear(u.ways)
+	if len(u.oneWayDelays) >= maxDelays {
+		clear(u.oneWayDelays)
 	}
-	u.ways[address] = way
+	u.oneWayDelays[address] = delay
 }
 
 // setUsageNames takes over the customers of a table.
@@ -215,7 +216,7 @@
 		return
 	}
 	if announced.Token > u.duty.Token && holder != u.self.Name {
-		u.nextSend, u.paidUntil = now.Add(rand.N(resendSpread)), now
+		u.nextSend, u.budgetUsedUntil = now.Add(rand.N(resendSpread)), now
 	}
 	u.duty, u.dutyHolder = announced, holder
 	clear(u.finalSent)
@@ -328,7 +329,7 @@
 	if destinations == 0 {
 		return nil
 	}
-	due := !now.Before(u.nextSend) && !now.Before(u.paidUntil)
+	due := !now.Before(u.nextSend) && !now.Before(u.budgetUsedUntil)
 	if !final && !due && !u.finalDue(now, fleet) {
 		return nil
 	}
@@ -345,7 +346,7 @@
 		w.Settled = w.Settled || final
 		encoded := u.names.Encode(w)
 		counts.Windows = append(counts.Windows, encoded)
-		size += usageWindowBytes + len(encoded.Counts)
+		size += windowSize(&encoded)
 	}
 	if excess := len(counts.Windows) - lacewingramp.MaxUsageWindows; excess > 0 {
 		counts.Windows = counts.Windows[excess:]
@@ -355,13 +356,22 @@
 	interval := usageInterval * time.Duration(max(usageFleet, fleet)) / usageFleet
 	u.lastSend = now
 	u.nextSend = now.Add(interval)
-	if u.paidUntil.Before(now) {
-		u.paidUntil = now
+	if u.budgetUsedUntil.Before(now) {
+		u.budgetUsedUntil = now
 	}
-	u.paidUntil = u.paidUntil.Add(time.Duration(float64(size*destinations) / usageBytesPerSecond * float64(time.Second)))
+	u.budgetUsedUntil = u.budgetUsedUntil.Add(time.Duration(float64(size*destinations) / usageBytesPerSecond * float64(time.Second)))
 	return counts
 }
 
+// windowSize returns about how many bytes a window takes in a message.
+func windowSize(w *lacewingramp.UsageWindow) int {
+	size := usageWindowBytes + len(w.Counts)
+	for name := range w.Others {
+		size += len(name) + usageOtherBytes
+	}
+	return size
+}
+
 // finalDue reports whether a window has settled whose counts were not sent often enough since. Each
 // instance sends them at another time after the end of the window.
 func (u *usageState) finalDue(now time.Time, fleet int) bool {
@@ -371,7 +381,7 @@
 	switch {
 	case sent >= finalSends || now.Before(usage.EndOf(id, u.Window).Add(time.Duration(u.finalPart*float64(spread)))):
 		return false
-	case sent > 0 && now.Sub(u.lastSend) < finalInterval || now.Add(maxAdvance).Before(u.paidUntil):
+	case sent > 0 && now.Sub(u.lastSend) < finalInterval || now.Add(maxBudgetAdvance).Before(u.budgetUsedUntil):
 		return false
 	}
 	return u.counter.At(now, id).Settled
--- a/internal/entry/edge/edge_usage_duty.go
+++ b/internal/entry/edge/edge_usage_duty.go
@@ -37,8 +37,8 @@
 	avoidTime       = 15 * time.Second
 	avoidDelay      = 1500 * time.Millisecond
 	// A candidate to which the store does not respond tries again after up to acquireBackoff,
-	// doubled each time up to maxAcquireBackoff, so that a whole fleet does not press on a store
-	// that comes back.
+	// doubled each time up to maxAcquireBackoff, so that a large fleet does not overload a store
+	// that recovers.
 	acquireBackoff    = 500 * time.Millisecond
 	maxAcquireBackoff = 3 * time.Second
 )
--- a/internal/entry/edge/edge_usage_report.go
+++ b/internal/entry/edge/edge_usage_report.go
@@ -68,9 +68,9 @@
 	return r, err
 }
 
-// work is what the holder does next: the report of a window, with its body if that is known to be
+// reportTask is what the holder does next: the report of a window, with its body if that is known to be
 // stored.
-type work struct {
+type reportTask struct {
 	id      int64
 	token   int64
 	body    []byte
@@ -106,14 +106,14 @@
 }
 
 // nextReport returns the report that is due, and decides on its body if nobody has done so.
-func (e *Edge) nextReport(live []usage.Source) (work, bool) {
+func (e *Edge) nextReport(live []usage.Source) (reportTask, bool) {
 	u := e.usage
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.Now()
 	token, ok := u.holder.MayAct(now)
 	if !ok || now.Before(u.callAt) {
-		return work{}, false
+		return reportTask{}, false
 	}
 	since := u.firstStart(live)
 	for _, id := range u.reports.Overdue(now, since) {
@@ -121,9 +121,9 @@
 	}
 	id, ok := u.reports.Next(now, since)
 	if !ok {
-		return work{}, false
+		return reportTask{}, false
 	}
-	w := work{id: id, token: token}
+	w := reportTask{id: id, token: token}
 	w.body, w.stored, w.suspect = u.reports.Plan(id, duty.Epoch(token), u.holder.ClearFrom())
 	if w.body != nil || w.suspect {
 		return w, true
@@ -186,7 +186,7 @@
 
 // storeReport makes sure that the store has a report for a window, and returns the body that it
 // has, which is the only one that may be sent.
-func (e *Edge) storeReport(ctx context.Context, w work) ([]byte, bool) {
+func (e *Edge) storeReport(ctx context.Context, w reportTask) ([]byte, bool) {
 	u := e.usage
 	key, epoch := reportKey(w.id), duty.Epoch(w.token)
 	if w.body != nil {
@@ -227,7 +227,7 @@
 	return record.Body, e.adopt(w, record.Body, kv.Epoch)
 }
 
-func (e *Edge) usable(w work, epoch int64, r reportRecord) bool {
+func (e *Edge) usable(w reportTask, epoch int64, r reportRecord) bool {
 	e.usage.mu.Lock()
 	defer e.usage.mu.Unlock()
 	return e.usage.reports.Usable(w.id, epoch, e.usage.holder.ClearFrom(), duty.Epoch(r.Token), r.Body)
@@ -235,7 +235,7 @@
 
 // adopt records the body that the store has. It reports false if the store was restored since the
 // duty was acquired.
-func (e *Edge) adopt(w work, body []byte, epoch int64) bool {
+func (e *Edge) adopt(w reportTask, body []byte, epoch int64) bool {
 	u := e.usage
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -249,13 +249,13 @@
 	return true
 }
 
-func (e *Edge) giveUpSuspect(w work) {
+func (e *Edge) giveUpSuspect(w reportTask) {
 	e.usage.mu.Lock()
 	defer e.usage.mu.Unlock()
 	e.giveUp(w.id, "it may have been reported before the store was restored from a backup")
 }
 
-func (e *Edge) reportFailed(w work, err error, message string) {
+func (e *Edge) reportFailed(w reportTask, err error, message string) {
 	e.usage.mu.Lock()
 	defer e.usage.mu.Unlock()
 	e.usage.reports.Failed(e.usage.Now(), w.id)
@@ -265,7 +265,7 @@
 }
 
 // sendReport sends a stored report, as long as this instance may act with the token.
-func (e *Edge) sendReport(ctx context.Context, w work) {
+func (e *Edge) sendReport(ctx context.Context, w reportTask) {
 	u := e.usage
 	mayAct := func() bool {
 		u.mu.Lock()
