--- a/internal/report/usage/reports.go
+++ b/internal/report/usage/reports.go
@@ -79,8 +79,8 @@
 	return 0, false
 }
 
-// Body returns the body of a report, and whether the store is known to have it in an epoch. The body
-// is nil if neither this instance nor, as far as it knows, another one has decided on it.
+// Body returns the body of a report, and whether the store is known to have it in an epoch. The
+// body is nil if neither this instance nor, as far as it knows, another one has decided on it.
 func (r *Reports) Body(id, epoch int64) (body []byte, stored bool) {
 	p := r.get(id)
 	if p.stored && p.storedIn == epoch {
--- a/usage.go
+++ b/usage.go
@@ -24,8 +24,8 @@
 }
 
 // UsageWindow is one window of UsageCounts. Settled is set if no request in flight can change
-// the counts any more. Counts are by the position of the customer, and Others by name for those that
-// are no longer in the table.
+// the counts any more. Counts are by the position of the customer, and Others by name for those
+// that are no longer in the table.
 type UsageWindow struct {
 	ID      int64             `cbor:"1,keyasint"`
 	Settled bool              `cbor:"2,keyasint,omitempty"`
