End the wait of a displaced request for its customer

A request that lost its place to a more urgent one was still counted as a waiting one of its customer, forever. Of a customer whose waits get room in less than half of the cases, only one request may wait, so that no request of this customer waited any more and its fraction never rose again.

Queue.makePlace now ends the wait in the outcomes. The fraction stays as it is, as a displacement does not show whether there would have been room. The new test fails without the change.

--- a/internal/limit/admission/outcomes.go
+++ b/internal/limit/admission/outcomes.go
@@ -1,7 +1,8 @@
 package admission
 
 const (
-	// outcomeWeight is the weight of the latest wait in a customer's fraction of waits that got room.
+	// outcomeWeight is the weight of the latest wait in a customer's fraction of waits that
+	// got room.
 	outcomeWeight = 0.1
 	// minSuccess is the fraction below which only one request of a customer waits at a time.
 	minSuccess = 0.5
@@ -44,6 +45,13 @@
 	c.failed += outcomeWeight * (failed - c.failed)
 }
 
+// displaced ends the wait of a request that lost its place, which does not show whether it would
+// have got room.
+func (o *outcomes) displaced(customer string) {
+	c := o.of(customer)
+	c.waiting = max(0, c.waiting-1)
+}
+
 func (o *outcomes) of(customer string) *outcome {
 	c, ok := o.customers[customer]
 	if ok {
--- a/internal/limit/admission/outcomes_test.go
+++ b/internal/limit/admission/outcomes_test.go
@@ -37,3 +37,36 @@
 	}
 	gomega.Expect(offer("bound")).NotTo(gomega.BeNil())
 })
+
+// Load: a customer whose targets are all full, and urgent requests of others that fill the
+// queue. Guards against a displaced request that counts as waiting forever, so that its
+// customer never waits again.
+var _ = ginkgo.It("a customer whose waiting request is displaced may have another one wait", func() {
+	var q admission.Queue
+	for range 1000 {
+		q.Ended(start, 10*time.Millisecond)
+	}
+	deadline := start.Add(2 * time.Second)
+	offer := func(customer string, class int) *admission.Waiter {
+		w, _ := q.Offer(start, admission.Request{
+			Class: class, Customer: customer, Weight: 1, Deadline: deadline, Timeout: 2 * time.Second, CallerUntil: deadline,
+		})
+		return w
+	}
+	for range 20 {
+		q.Leave(start, offer("bound", 1), false)
+	}
+	displaced := offer("bound", 1)
+	gomega.Expect(offer("bound", 1)).To(gomega.BeNil())
+	var urgent []*admission.Waiter
+	for !displaced.Displaced() {
+		w := offer("urgent", 0)
+		gomega.Expect(w).NotTo(gomega.BeNil())
+		urgent = append(urgent, w)
+	}
+	q.Leave(start, displaced, false)
+	for _, w := range urgent {
+		q.Leave(start, w, true)
+	}
+	gomega.Expect(offer("bound", 1)).NotTo(gomega.BeNil())
+})
--- a/internal/limit/admission/place.go
+++ b/internal/limit/admission/place.go
@@ -12,6 +12,7 @@
 			return false
 		}
 		q.remove(w)
+		q.outcomes.displaced(w.Customer)
 		w.signal()
 	}
 	return true
