Keep a choice that needs a token after targets whose room is kept

passKeptRoom dropped the third choice if it needed a token of the target's rate. The placer had counted the request for it, which was never made, so that the instance requested fewer tokens of that target, in the end none. Likewise, a choice that needed a probe was dropped. Both are returned now, as before the third target. The new test fails without the change.

--- a/internal/entry/edge/admission_internal_test.go
+++ b/internal/entry/edge/admission_internal_test.go
@@ -13,6 +13,7 @@
 	"lacewingramp.example/lacewingramp/internal/call/message"
 	"lacewingramp.example/lacewingramp/internal/limit/admission"
 	"lacewingramp.example/lacewingramp/internal/report/meter"
+	"lacewingramp.example/lacewingramp/internal/steer/placement"
 	"lacewingramp.example/lacewingramp/internal/timer/manual"
 )
 
@@ -46,8 +47,9 @@
 		gomega.Expect(newJob(&lacewingramp.Customer{PriorityClass: 9}, 9).class()).To(gomega.Equal(admission.Classes - 1))
 	})
 
-	// Load: a customer that uses its whole rate, whose tokens come from the keeper of its pool, which
-	// is slow. Guards against tokens that are lost to the customer with a late reply.
+	// Load: a customer that uses its whole rate, whose tokens come from the keeper of its
+	// pool, which is slow. Guards against tokens that are lost to the customer with a late
+	// reply.
 	ginkgo.It("keeps a token that was granted too late for its request, once", func() {
 		e.quota.Configure(timer.Now(), map[string]lacewingramp.Limit{"c": {Rate: 0.001, Burst: 10}})
 		for e.quota.Take(timer.Now(), "c") {
@@ -100,8 +102,44 @@
 		gomega.Expect(other.returned).To(gomega.BeFalse())
 	})
 
-	// Guards against a relayed request whose refusal arrives after the relaying instance has taken it
-	// for lost, so that its caller gets 504 though it was never sent.
+	// Guards against a request for a token that is counted and never made, after which the
+	// instance requests fewer tokens of the target, or none.
+	ginkgo.It("returns a choice that needs a token, also after targets whose room is kept", func() {
+		timer.Advance(time.Minute)
+		e.placer.SetInstances([]lacewingramp.Endpoint{{Name: "other", Domain: "a"}}, 1)
+		now := timer.Now()
+		for _, name := range []string{"t1", "t2", "t3"} {
+			e.placer.Update(now, lacewingramp.TargetRegistration{
+				Target: lacewingramp.Target{Name: name, Service: "s", Address: name + ":1", Domain: "a", Slots: 1}, StartMillis: 1,
+			})
+			e.placer.Done(now, placement.Report{
+				Target: name, StartMillis: 1, ChosenAt: now, SentAt: now, Ran: true, TargetLoad: &lacewingramp.TargetLoad{Running: 1, Waiting: 1},
+			})
+		}
+		timer.Advance(150 * time.Millisecond)
+		now = timer.Now()
+		j := newJob(nil, 2)
+		e.queue("s").Defers(now, 0, false)
+		q := placement.Query{Service: "s", Object: "17"}
+		for range maxKeptTargets {
+			c := e.placer.Choose(now, q)
+			gomega.Expect(c.Target).NotTo(gomega.BeNil())
+			gomega.Expect(e.queue("s").KeepsRoom(now, j.class(), c.Load)).To(gomega.BeTrue())
+			e.placer.Cancel(c.Target.Name)
+			q.Tried = append(q.Tried, c.Target.Name)
+		}
+		last := e.placer.Choose(now, q).Target.Name
+		e.placer.Cancel(last)
+		limit := 10.0
+		e.placer.Done(now, placement.Report{Target: last, StartMillis: 1, ChosenAt: now, SentAt: now, Ran: true, RateLimit: &limit})
+		q.Tried = nil
+		c := e.passKeptRoom(now, j, q, e.placer.Choose(now, q))
+		gomega.Expect(c.NeedsToken).To(gomega.BeTrue())
+		gomega.Expect(c.Target.Name).To(gomega.Equal(last))
+	})
+
+	// Guards against a relayed request whose refusal arrives after the relaying instance
+	// has taken it for lost, so that its caller gets 504 though it was never sent.
 	ginkgo.It("refuses a relayed request early enough for the refusal to arrive", func() {
 		j := newJob(nil, 1)
 		gomega.Expect(e.minTimeLeft(j)).To(gomega.Equal(minTimeLeft))
--- a/internal/entry/edge/edge_admission.go
+++ b/internal/entry/edge/edge_admission.go
@@ -98,7 +98,8 @@
 	return admission.ReturnKey(j.customerName(), j.route.Name, j.request.Path, j.headers.Object)
 }
 
-// queue returns the queue of a load-aware service, nil for any other one. The caller must hold e.mu.
+// queue returns the queue of a load-aware service, nil for any other one. The caller must
+// hold e.mu.
 func (e *Edge) queue(service string) *admission.Queue {
 	if !e.placer.LoadAware(service) {
 		return nil
@@ -123,8 +124,8 @@
 	return q.Defers(now, j.class(), j.goesFirst())
 }
 
-// goesFirst reports whether a request goes before new ones of its class: its caller has returned, or
-// a target has refused it.
+// goesFirst reports whether a request goes before new ones of its class: its caller has
+// returned, or a target has refused it.
 func (j *job) goesFirst() bool {
 	return j.returned || j.attempts > 0
 }
@@ -133,25 +134,19 @@
 // requests. The caller must hold e.mu.
 func (e *Edge) passKeptRoom(now time.Time, j *job, q placement.Query, c placement.Choice) placement.Choice {
 	queue := e.queue(j.service)
-	if queue == nil {
+	if queue == nil || c.Target == nil {
 		return c
 	}
-	for range maxKeptTargets {
-		if c.Target == nil || c.NeedsProbe || c.NeedsToken || !queue.KeepsRoom(now, j.class(), c.Load) {
+	for passed := 0; c.Target != nil; passed++ {
+		if c.NeedsProbe || c.NeedsToken || !queue.KeepsRoom(now, j.class(), c.Load) {
 			return c
 		}
 		e.placer.Cancel(c.Target.Name)
-		q.Tried = append(slices.Clone(q.Tried), c.Target.Name)
-		c = e.placer.Choose(now, q)
-		if c.Target == nil {
+		if passed == maxKeptTargets {
 			break
 		}
-	}
-	if c.Target != nil && !c.NeedsProbe && !c.NeedsToken {
-		if !queue.KeepsRoom(now, j.class(), c.Load) {
-			return c
-		}
-		e.placer.Cancel(c.Target.Name)
+		q.Tried = append(slices.Clone(q.Tried), c.Target.Name)
+		c = e.placer.Choose(now, q)
 	}
 	return placement.Choice{Full: true, RoomIn: c.RoomIn}
 }
@@ -178,8 +173,8 @@
 	q.Wake(now)
 }
 
-// wakeWaiting lets the next requests choose again, as heartbeats may have shown room. The caller must
-// hold e.mu.
+// wakeWaiting lets the next requests choose again, as heartbeats may have shown room. The
+// caller must hold e.mu.
 func (e *Edge) wakeWaiting(now time.Time) {
 	if e.admission.queues == nil {
 		return
@@ -196,8 +191,8 @@
 	}
 }
 
-// chooseOrWait is like choose. If all targets of a load-aware service are full, the request waits for
-// room if that is expected in time.
+// chooseOrWait is like choose. If all targets of a load-aware service are full, the request
+// waits for room if that is expected in time.
 func (e *Edge) chooseOrWait(ctx context.Context, j *job) (placement.Choice, bool) {
 	choice, ok := e.choose(j)
 	if ok || !j.noRoom || !e.enqueue(j) {
@@ -252,8 +247,8 @@
 	}
 }
 
-// awaitRoom waits until a request may choose again. It returns false if its wait is over: its caller
-// has left, it has lost its place, its time is up, or the instance stops.
+// awaitRoom waits until a request may choose again. It returns false if its wait is over:
+// its caller has left, it has lost its place, its time is up, or the instance stops.
 func (e *Edge) awaitRoom(ctx context.Context, j *job) bool {
 	for ctx.Err() == nil && !e.mayNotEnd() {
 		left := j.waiter.Until.Sub(e.Timer.Now())
@@ -280,8 +275,8 @@
 	e.queueOf(j).Return(e.Timer.Now(), j.waiter)
 }
 
-// queueOf returns the queue in which a request has waited or been counted, also if its service is no
-// longer load-aware, nil for none. The caller must hold e.mu.
+// queueOf returns the queue in which a request has waited or been counted, also if its
+// service is no longer load-aware, nil for none. The caller must hold e.mu.
 func (e *Edge) queueOf(j *job) *admission.Queue {
 	return e.admission.queues[j.service]
 }
@@ -357,8 +352,8 @@
 	return min(after, max(0, j.callerUntil().Sub(e.Timer.Now())/maxReturnPart))
 }
 
-// expectLateToken remembers a request for a token of a customer's pool that had no reply in time: the
-// keeper may have granted it. The caller must hold e.mu.
+// expectLateToken remembers a request for a token of a customer's pool that had no reply in
+// time: the keeper may have granted it. The caller must hold e.mu.
 func (e *Edge) expectLateToken(id uint64, customer string) {
 	if !e.placer.AnyLoadAware() {
 		return
