Wrap comments evenly and remove code that only tests use

Comments of up to 125 columns are wrapped at about 90. rankingOf never returns nil, so its comment no longer says so.

--- a/internal/call/exchange/prove.go
+++ b/internal/call/exchange/prove.go
@@ -48,8 +48,8 @@
 		return errNotProven
 	}
 	conn.record(headers)
-	// A response to a health check may have no ID. A repeated one must not be taken for the response
-	// to the request.
+	// A response to a health check may have no ID. A repeated one must not be taken for the
+	// response to the request.
 	conn.sendsIDs = true
 	return conn.SetDeadline(time.Time{})
 }
--- a/internal/call/exchange/prove_test.go
+++ b/internal/call/exchange/prove_test.go
@@ -147,7 +147,8 @@
 		gomega.Expect(r.ConnectionRefused).To(gomega.BeFalse())
 	})
 
-	// Guards against a repeated response to the proof that is taken for the response to the request.
+	// Guards against a repeated response to the proof that is taken for the response to the
+	// request.
 	ginkgo.It("is told from the request by its ID", func(ctx context.Context) {
 		proof := "HTTP/1.1 200 OK\r\nId: prove-1\r\nContent-Length: 2\r\n\r\nno"
 		s := startTarget(proof, proof+response1)
--- a/internal/entry/edge/edge_admit.go
+++ b/internal/entry/edge/edge_admit.go
@@ -65,10 +65,10 @@
 	// better one.
 	fallback *message.Response
 	allFull  bool
-	// returned is set if the caller was refused before and has returned. noRoom is set if the
-	// latest choice found no target with room, deferred if it let others go first, and roomIn is the time until one has, 0
-	// if not known. waiter is set while the request waits for room, and room describes the
-	// latest wait or refusal.
+	// returned is set if the caller was refused before and has returned. noRoom is set if
+	// the latest choice found no target with room, deferred if it let others go first, and
+	// roomIn is the time until one has, 0 if not known. waiter is set while the request
+	// waits for room, and room describes the latest wait or refusal.
 	returned bool
 	noRoom   bool
 	deferred bool
--- a/internal/entry/edge/edge_expect.go
+++ b/internal/entry/edge/edge_expect.go
@@ -6,8 +6,8 @@
 	"lacewingramp.example/lacewingramp/internal/steer/placement"
 )
 
-// setExpectations sets what the choice by completion time needs to know of a request. The time since it was
-// received counts towards its objective.
+// setExpectations sets what the choice by completion time needs to know of a request. The
+// time since it was received counts towards its objective.
 func (j *job) setExpectations(now time.Time, q *placement.Query) {
 	q.Route = j.route.Name
 	q.Remaining = j.deadline.Sub(now)
--- a/internal/entry/edge/edge_prove.go
+++ b/internal/entry/edge/edge_prove.go
@@ -27,11 +27,12 @@
 	return minTimeLeft
 }
 
-// proof returns the request that proves a connection to a target before a request is written on
-// it, nil for none. A connection that is reset after the request was written leaves in
-// doubt whether it has run. A proof takes a round trip and a slot, so there is one only while resets
-// have to be expected: a target of the service has recently closed a new connection, all targets
-// so far have refused the request, or it is not idempotent and the target may be full.
+// proof returns the request that proves a connection to a target before a request is
+// written on it, nil for none. A connection that is reset after the request was written
+// leaves in doubt whether it has run. A proof takes a round trip and a slot, so there is
+// one only while resets have to be expected: a target of the service has recently closed a
+// new connection, all targets so far have refused the request, or it is not idempotent and
+// the target may be full.
 func (e *Edge) proof(j *job, t *lacewingramp.Target) *message.Request {
 	if j.route.Idempotent && j.mayHaveRun {
 		return nil
--- a/internal/entry/edge/expect_test.go
+++ b/internal/entry/edge/expect_test.go
@@ -14,7 +14,8 @@
 var _ = ginkgo.Describe("what the choice of a target is told of a request", func() {
 	now := time.Unix(1_800_000_000, 0)
 
-	// Failure guarded against: a second attempt that is chosen as if the caller had not waited for the first.
+	// Failure guarded against: a second attempt that is chosen as if the caller had not
+	// waited for the first.
 	ginkgo.It("counts the time since the request was received towards its objective", func() {
 		j := &job{
 			route:      &lacewingramp.Route{Name: "query", LatencyObjective: lacewingramp.Duration(400 * time.Millisecond)},
--- a/internal/limit/admission/admission_test.go
+++ b/internal/limit/admission/admission_test.go
@@ -261,8 +261,8 @@
 		gomega.Expect(q.Defers(start, 2, false)).To(gomega.BeFalse())
 	})
 
-	// Guards against room that is lost with a caller that leaves as it is woken, and against a place
-	// that is lost when there was no room after all.
+	// Guards against room that is lost with a caller that leaves as it is woken, and
+	// against a place that is lost when there was no room after all.
 	ginkgo.It("passes the room on from a caller that leaves, and keeps the place of one that found none", func() {
 		var q admission.Queue
 		for range 100 {
--- a/internal/limit/admission/level.go
+++ b/internal/limit/admission/level.go
@@ -55,8 +55,8 @@
 	l.count++
 }
 
-// remove removes a request. A customer that has no other stays, with its virtual finish time, unless
-// there are too many.
+// remove removes a request. A customer that has no other stays, with its virtual finish
+// time, unless there are too many.
 func (l *level) remove(w *Waiter) {
 	for i, c := range l.customers {
 		if c.name != w.Customer {
@@ -119,8 +119,8 @@
 	return 0
 }
 
-// ahead returns the number of waiting requests that go before another one of a customer: those of the
-// customer, and as many and one more of each other one.
+// ahead returns the number of waiting requests that go before another one of a customer:
+// those of the customer, and as many and one more of each other one.
 func (l *level) ahead(customer string) (n int) {
 	if l.count == 0 {
 		return 0
--- a/internal/limit/admission/retryafter.go
+++ b/internal/limit/admission/retryafter.go
@@ -42,8 +42,8 @@
 	r.at = now
 }
 
-// gap returns the expected time between two ends of requests. While more requests run than usual, more
-// will end than have ended lately.
+// gap returns the expected time between two ends of requests. While more requests run than
+// usual, more will end than have ended lately.
 func (q *Queue) gap(now time.Time) time.Duration {
 	perSecond := max(minRate, q.ends.perSecond(now))
 	if q.duration > 0 {
@@ -52,8 +52,9 @@
 	return time.Duration(float64(time.Second) / perSecond)
 }
 
-// RetryAfter returns when the caller of a refused request should return: after the expected wait, and
-// after the callers of its class and of more urgent ones that were refused before.
+// RetryAfter returns when the caller of a refused request should return: after the expected
+// wait, and after the callers of its class and of more urgent ones that were refused
+// before.
 func (q *Queue) RetryAfter(now time.Time, r Request) time.Duration {
 	r.Class = clampClass(r.Class)
 	class := r.Class
--- a/internal/operator/command/cmd_experiment.go
+++ b/internal/operator/command/cmd_experiment.go
@@ -18,12 +18,12 @@
 // percent converts a fraction to a percentage.
 const percent = 100
 
-// Execute runs the simulations and prints one table per load, with a row for each
-// policy. The column "worst 2 s" is the lowest fraction of answered requests that were
-// answered in time, over all windows of 2 s. The column "known" is the fraction of
-// requests whose object the target had cached, and "far" the fraction of responses
-// from another region. The column "moved" is the largest change of the regions that a region's requests
-// ran in, from one window of 2 s to the next, for the loads with several kinds of requests.
+// Execute runs the simulations and prints one table per load, with a row for each policy.
+// The column "worst 2 s" is the lowest fraction of answered requests that were answered in
+// time, over all windows of 2 s. The column "known" is the fraction of requests whose
+// object the target had cached, and "far" the fraction of responses from another region.
+// The column "moved" is the largest change of the regions that a region's requests ran in,
+// from one window of 2 s to the next, for the loads with several kinds of requests.
 func (c *cmdExperiment) Execute([]string) error {
 	t := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	found := false
--- a/internal/proof/emulator/emulator_kinds.go
+++ b/internal/proof/emulator/emulator_kinds.go
@@ -60,8 +60,8 @@
 	}
 }
 
-// scheduleKind schedules candidates for arrivals at the highest rate of a kind. Each becomes a request with
-// the probability that makes the current rate.
+// scheduleKind schedules candidates for arrivals at the highest rate of a kind. Each
+// becomes a request with the probability that makes the current rate.
 func (sim *simulation) scheduleKind(region int, k *Kind) {
 	highest := k.Rate * sim.CallerFractions[region] * (1 + sim.WaveAmplitude) * max(1, k.BurstFactor)
 	interval := time.Duration(sim.random.ExpFloat64() / highest * float64(time.Second))
@@ -81,8 +81,8 @@
 	})
 }
 
-// rateOf returns the current rate of a kind from a region. The regions rise and fall in turn, and the
-// load falls to a part of it at once at LoadDropAt.
+// rateOf returns the current rate of a kind from a region. The regions rise and fall in
+// turn, and the load falls to a part of it at once at LoadDropAt.
 func (sim *simulation) rateOf(region int, k *Kind) float64 {
 	elapsed := sim.now.Sub(startTime)
 	rate := k.Rate * sim.CallerFractions[region]
@@ -121,8 +121,8 @@
 	})
 }
 
-// processingTime returns the mean processing time of a request at a target, for an object that it has
-// not cached.
+// processingTime returns the mean processing time of a request at a target, for an object
+// that it has not cached.
 func (sim *simulation) processingTime(r *request, t *target) float64 {
 	if r.kind == nil {
 		return float64(sim.ProcessingTime)
--- a/internal/proof/emulator/emulator_types.go
+++ b/internal/proof/emulator/emulator_types.go
@@ -51,11 +51,12 @@
 	SlowFrom    time.Duration
 	SlowUntil   time.Duration
 
-	// Kinds replaces ObjectsPerRegion, RequestRate, ProcessingTime, LatencyObjective and Timeout
-	// if it is not empty. CallerFractions holds the fraction of the requests from each region. Their rates rise
-	// and fall in turn by the fraction WaveAmplitude, unless WavePeriod is 0, and fall to the fraction
-	// LoadDropTo at LoadDropAt, unless that is 0.
-	// Only the requests that callers send from CountFrom on are counted, as no target has cached an object at first.
+	// Kinds replaces ObjectsPerRegion, RequestRate, ProcessingTime, LatencyObjective and
+	// Timeout if it is not empty. CallerFractions holds the fraction of the requests from
+	// each region. Their rates rise and fall in turn by the fraction WaveAmplitude, unless
+	// WavePeriod is 0, and fall to the fraction LoadDropTo at LoadDropAt, unless that is 0.
+	// Only the requests that callers send from CountFrom on are counted, as no target has
+	// cached an object at first.
 	Kinds           []Kind
 	CountFrom       time.Duration
 	CallerFractions []float64
--- a/internal/proof/emulator/hard_test.go
+++ b/internal/proof/emulator/hard_test.go
@@ -9,8 +9,8 @@
 	"lacewingramp.example/lacewingramp/internal/proof/emulator"
 )
 
-// maxShift is by how much the regions in which a region's requests run may change from one window of 2 s to the next
-// when only the load changes.
+// maxShift is by how much the regions in which a region's requests run may change from one
+// window of 2 s to the next when only the load changes.
 const maxShift = 0.15
 
 // simulateHard returns the results of the choice by completion time and of the former one.
@@ -59,8 +59,8 @@
 		gomega.Expect(fraction(r.Refused+r.Failed, r.Requests)).To(gomega.BeNumerically("<", 0.01))
 	})
 
-	// Load: 15% of the targets take 2.5 times as long for 600 ms. The instances of this test do not tell each other
-	// of the loads of targets.
+	// Load: 15% of the targets take 2.5 times as long for 600 ms. The instances of this
+	// test do not tell each other of the loads of targets.
 	ginkgo.It("with targets that are slow in turn is served in time as often as by the former choice", func() {
 		r, former := simulateHard("noisy")
 		gomega.Expect(fraction(r.InTime, r.Requests)).To(gomega.BeNumerically(">", fraction(former.InTime, former.Requests)-0.01))
--- a/internal/proof/emulator/policy.go
+++ b/internal/proof/emulator/policy.go
@@ -38,8 +38,8 @@
 	Tried   []string
 	// Attempt numbers the attempts of all requests.
 	Attempt int
-	// Route is the kind of the request, "" if the scenario has only one. Objective is the time left to its latency objective and
-	// Remaining that to its timeout.
+	// Route is the kind of the request, "" if the scenario has only one. Objective is the
+	// time left to its latency objective and Remaining that to its timeout.
 	Route     string
 	Objective time.Duration
 	Remaining time.Duration
@@ -65,10 +65,10 @@
 	WorkPercent int
 }
 
-// Policy chooses a target for each request. One Policy serves all instances, but may
-// base the choice for an instance only on the responses to that instance. instance is
-// the index of an instance; those of the first region come first. The simulation calls Init once before
-// the first request, Done for each response, and RemoveTarget when a target has
+// Policy chooses a target for each request. One Policy serves all instances, but may base
+// the choice for an instance only on the responses to that instance. instance is the index
+// of an instance; those of the first region come first. The simulation calls Init once
+// before the first request, Done for each response, and RemoveTarget when a target has
 // stopped permanently.
 type Policy interface {
 	Name() string
--- a/internal/proof/emulator/scenario_hard.go
+++ b/internal/proof/emulator/scenario_hard.go
@@ -2,8 +2,9 @@
 
 import "time"
 
-// desk returns a scenario of the queries of a deployment in which a third of the callers are in a region
-// with a tenth of the targets, and the loads of the regions rise and fall in turn.
+// desk returns a scenario of the queries of a deployment in which a third of the callers
+// are in a region with a tenth of the targets, and the loads of the regions rise and fall
+// in turn.
 func desk(name, description string, factor float64) Scenario {
 	return Scenario{
 		Name: name, Description: description,
@@ -17,7 +18,8 @@
 	}
 }
 
-// vault returns a scenario of the audits and uploads of the same deployment, with a burst of audits.
+// vault returns a scenario of the audits and uploads of the same deployment, with a burst
+// of audits.
 func vault(name, description string, burst float64) Scenario {
 	s := desk(name, description, 1)
 	s.Targets, s.CacheSize = []int{16, 62, 78}, 8
@@ -34,8 +36,9 @@
 	return s
 }
 
-// HardScenarios returns the loads under which the choice by completion time is compared with the former one. They
-// have several kinds of requests, and targets report how long work takes.
+// HardScenarios returns the loads under which the choice by completion time is compared
+// with the former one. They have several kinds of requests, and targets report how long
+// work takes.
 func HardScenarios() []Scenario {
 	hot := desk("desk-hot", "a fifth of the queries concern 6 objects", 1)
 	hot.Kinds[0].HotObjects, hot.Kinds[0].HotFraction = 6, 0.2
--- a/internal/steer/capacity/capacity.go
+++ b/internal/steer/capacity/capacity.go
@@ -149,9 +149,9 @@
 	a.at = at
 }
 
-// remaining returns the fraction of a deviation that remains after a time: e to the power of -x, within
-// 0.012, by the first terms of the series of e to the power of x. A choice makes hundreds of estimates, and
-// math.Exp takes most of their time.
+// remaining returns the fraction of a deviation that remains after a time: e to the power
+// of -x, within 0.012, by the first terms of the series of e to the power of x. A choice
+// makes hundreds of estimates, and math.Exp takes most of their time.
 func remaining(after, timeConstant time.Duration) float64 {
 	if after <= 0 {
 		return 1
--- a/internal/steer/capacity/capacity_limit.go
+++ b/internal/steer/capacity/capacity_limit.go
@@ -13,7 +13,8 @@
 	// maxRiseStep the longest time that one of them counts for.
 	riseTime    = 10 * time.Second
 	maxRiseStep = time.Second
-	// maxLowest is the lowest fraction of slots and queue that a limit falls to while neither is known.
+	// maxLowest is the lowest fraction of slots and queue that a limit falls to while
+	// neither is known.
 	maxLowest = 0.1
 	// usualRoundTrip is assumed while no duration is known, the others bound the one that is.
 	usualRoundTrip = 500 * time.Millisecond
@@ -22,8 +23,8 @@
 	// maxQueuePerSlot bounds the queue that is believed, in requests per slot.
 	maxQueuePerSlot = 16
 
-	// levels is the number of levels by which mean work is kept: the numbers of running requests, or
-	// ranges of them if there are more slots.
+	// levels is the number of levels by which mean work is kept: the numbers of running
+	// requests, or ranges of them if there are more slots.
 	levels = 8
 	// levelTime is the time constant with which the evidence on a level is forgotten, so that a
 	// level that the limit rules out is tried again.
@@ -32,9 +33,10 @@
 	minLevelWeight = 8
 	maxLevelWeight = 20
 	// sufficientThroughput is the fraction of the highest throughput from which a level
-	// suffices. Slow phases that do not depend on load coincide with many running requests, as these
-	// then take longer: with phases of 2.5 times the work in 15% of the time, work at three
-	// running requests seems up to 1.12 times that at two. From 1.5 x sufficientThroughput on it limits them to two.
+	// suffices. Slow phases that do not depend on load coincide with many running requests,
+	// as these then take longer: with phases of 2.5 times the work in 15% of the time, work
+	// at three running requests seems up to 1.12 times that at two. From 1.5 x
+	// sufficientThroughput on it limits them to two.
 	sufficientThroughput = 0.95
 )
 
@@ -107,8 +109,8 @@
 	return float64((i + 1) * l.slots / l.levelCount())
 }
 
-// findMaxRunning sets maxRunning to the lowest level with sufficient throughput, if there is evidence on a
-// higher one.
+// findMaxRunning sets maxRunning to the lowest level with sufficient throughput, if there
+// is evidence on a higher one.
 func (l *limit) findMaxRunning(now time.Time) {
 	best, highest := 0.0, -1
 	var throughput [levels]float64
--- a/internal/steer/capacity/capacity_test.go
+++ b/internal/steer/capacity/capacity_test.go
@@ -70,8 +70,8 @@
 		gomega.Expect(t.Requests(start.Add(13 * ms))).To(gomega.BeNumerically("~", 6, 0.05))
 	})
 
-	// Guards against counting requests twice that were sent before a peer's report was received, but
-	// after the target had sent it.
+	// Guards against counting requests twice that were sent before a peer's report was
+	// received, but after the target had sent it.
 	ginkgo.It("include those that were sent while a report was on its way", func() {
 		var t capacity.Target
 		t.Sent(start)
@@ -169,7 +169,8 @@
 		}
 	})
 
-	// Guards against an estimate that stays at its last value for as long as a clock was stepped back.
+	// Guards against an estimate that stays at its last value for as long as a clock was
+	// stepped back.
 	ginkgo.It("follow new reports after the clock has stepped back", func() {
 		t := withQueue()
 		t.Sent(start)
--- a/internal/steer/capacity/capacity_work.go
+++ b/internal/steer/capacity/capacity_work.go
@@ -10,16 +10,16 @@
 	// phaseTime is the time constant with which a work factor returns to the average of the target:
 	// the mean duration of a phase in which a target is slow.
 	phaseTime = 600 * time.Millisecond
-	// durationTime takes the place of phaseTime if the factor is known from durations, as it is then
-	// an average over several requests.
+	// durationTime takes the place of phaseTime if the factor is known from durations, as
+	// it is then an average over several requests.
 	durationTime = 2 * time.Second
 	// reportRetention is how long after a report of WorkPercent durations are not used.
 	reportRetention = 2 * time.Second
-	// runRetention is how long after a duration of work the relation of work to load is learned from
-	// durations only.
+	// runRetention is how long after a duration of work the relation of work to load is
+	// learned from durations only.
 	runRetention = 5 * time.Second
-	// durationWeight is the weight of the latest duration. maxStep bounds its ratio to the estimate,
-	// as a few requests take many times as long as others.
+	// durationWeight is the weight of the latest duration. maxStep bounds its ratio to the
+	// estimate, as a few requests take many times as long as others.
 	durationWeight = 0.3
 	maxStep        = 3
 )
--- a/internal/steer/capacity/phases_test.go
+++ b/internal/steer/capacity/phases_test.go
@@ -70,8 +70,8 @@
 	return 100
 }
 
-// Load: deployment L. Guards against taking slow phases for a target that slows down with its load: in a
-// phase more requests run, as each takes longer.
+// Load: deployment L. Guards against taking slow phases for a target that slows down with
+// its load: in a phase more requests run, as each takes longer.
 var _ = ginkgo.It("the limit is not below the slots for phases that do not depend on load", func() {
 	const duration, heard = 5 * time.Minute, 0.5
 	for _, utilization := range []float64{0.4, 0.6, 0.75, 0.9} {
--- a/internal/steer/completion/completion.go
+++ b/internal/steer/completion/completion.go
@@ -23,18 +23,19 @@
 )
 
 const (
-	// A target is taken without regard to later ones of the ranking if it is warm with the probability
-	// promptWarmth, ends the request in time with the probability promptProbability and the expected wait is at most
-	// maxPromptWait.
+	// A target is taken without regard to later ones of the ranking if it is warm with the
+	// probability promptWarmth, ends the request in time with the probability
+	// promptProbability and the expected wait is at most maxPromptWait.
 	promptWarmth      = 0.85
 	promptProbability = 0.85
 	maxPromptWait     = 200 * time.Millisecond
 	// punctualProbability is the probability from which a request is taken to end in time.
 	punctualProbability = 0.5
-	// lateSurcharge is the part of the objective that is added to the cost of an end that is certainly late.
+	// lateSurcharge is the part of the objective that is added to the cost of an end that
+	// is certainly late.
 	lateSurcharge = 1.0
-	// minGain is by how much more probable an end in time has to be at a later target of the ranking,
-	// which may have to become warm for the object first.
+	// minGain is by how much more probable an end in time has to be at a later target of
+	// the ranking, which may have to become warm for the object first.
 	minGain = 0.3
 	// inTimeFraction is the fraction of the objective within which a request is expected to end
 	// in time, as the time of work varies.
@@ -42,10 +43,11 @@
 	// coldSurcharge is the part of the additional work of a cold run that is added to its cost,
 	// because the target is occupied for longer.
 	coldSurcharge = 1.0
-	// minVariance is the variance of the number of requests ahead that remains if the requests at a target are
-	// known, as the time of work varies.
+	// minVariance is the variance of the number of requests ahead that remains if the
+	// requests at a target are known, as the time of work varies.
 	minVariance = 0.3
-	// deviationScale is the scale of the distribution of the requests ahead, in standard deviations of the estimate.
+	// deviationScale is the scale of the distribution of the requests ahead, in standard
+	// deviations of the estimate.
 	deviationScale = 0.77
 	// MaxCandidates is how many targets of a ranking are considered.
 	MaxCandidates = 12
@@ -97,7 +99,8 @@
 	warmth   float64
 	class    class
 	removed  bool
-	// keepsOrder says that the order of the ranking is kept unless a later target is clearly better.
+	// keepsOrder says that the order of the ranking is kept unless a later target is
+	// clearly better.
 	keepsOrder bool
 	// room is the expected time until a target at its limit could take the request.
 	room time.Duration
@@ -150,11 +153,11 @@
 	}
 }
 
-// The number of requests ahead has Student's t-distribution with two degrees of freedom around the estimate, as
-// its functions cost little.
+// The number of requests ahead has Student's t-distribution with two degrees of freedom
+// around the estimate, as its functions cost little.
 
-// ahead returns the expected number of requests that have to end before one can run, if the estimate of that
-// number is over with a scale, and it is at least 0.
+// ahead returns the expected number of requests that have to end before one can run, if the
+// estimate of that number is over with a scale, and it is at least 0.
 func ahead(over, scale float64) float64 {
 	x := over / scale
 	return scale * (x + math.Sqrt(1+x*x)) / 2
@@ -181,9 +184,6 @@
 	return usual
 }
 
-// Full reports whether the target is at its limit.
-func (e *Estimated) Full() bool { return e.class == full }
-
 // Search holds the candidates of one request, in the order of the ranking. The zero value is empty.
 type Search struct {
 	list [MaxCandidates]Estimated
@@ -214,7 +214,8 @@
 	}
 }
 
-// HasPrompt reports whether there is a candidate in a region that is taken without regard to later ones.
+// HasPrompt reports whether there is a candidate in a region that is taken without regard
+// to later ones.
 func (s *Search) HasPrompt(region int) bool {
 	for i := range s.n {
 		e := &s.list[i]
@@ -238,9 +239,9 @@
 	}
 }
 
-// Best returns the best candidate of a region: the first one that ends the request in time after a
-// short wait, otherwise the one of the best class with the lowest cost, or for an object the first one
-// unless a later one is clearly better.
+// Best returns the best candidate of a region: the first one that ends the request in time
+// after a short wait, otherwise the one of the best class with the lowest cost, or for an
+// object the first one unless a later one is clearly better.
 func (s *Search) Best(region int) (best Estimated, ok bool) {
 	for i := range s.n {
 		e := &s.list[i]
--- a/internal/steer/completion/completion_test.go
+++ b/internal/steer/completion/completion_test.go
@@ -12,7 +12,8 @@
 
 const ms = time.Millisecond
 
-// query is a request of the route query of a deployment with hard load: 480 ms at a cold target, 144 ms at a warm one.
+// query is a request of the route query of a deployment with hard load: 480 ms at a cold
+// target, 144 ms at a warm one.
 func query() completion.Request {
 	return completion.Request{Work: completion.Estimate{Warm: 144 * ms, Cold: 480 * ms}, Mean: 144 * ms, Objective: 400 * ms, Remaining: 1500 * ms}
 }
--- a/internal/steer/completion/delay.go
+++ b/internal/steer/completion/delay.go
@@ -14,8 +14,9 @@
 	delayWeight = 0.2
 )
 
-// Delays learns the network delay to each region, both ways: the shortest responses of a region take
-// longer than those of the own one by the delay. The zero value knows none. Each route has one.
+// Delays learns the network delay to each region, both ways: the shortest responses of a
+// region take longer than those of the own one by the delay. The zero value knows none.
+// Each route has one.
 type Delays struct {
 	regions map[string]*shortest
 }
--- a/internal/steer/completion/regions.go
+++ b/internal/steer/completion/regions.go
@@ -8,8 +8,8 @@
 	// maxShareSpeed is how much the share of a region may change per second. Together with
 	// maxCredit, that is less than 15% in 2 s.
 	maxShareSpeed = 0.03
-	// maxCredit is by how many requests a region may be ahead of or behind its share. A bound of 0.5 distorts
-	// the shares.
+	// maxCredit is by how many requests a region may be ahead of or behind its share. A
+	// bound of 0.5 distorts the shares.
 	maxCredit = 0.75
 	// wantedTimeConstant is the time constant in which the shares that the choice asks for are
 	// averaged, and minWantedWeight the minimum weight of the latest request.
@@ -18,10 +18,11 @@
 	maxWantedWeight    = 0.3
 )
 
-// Regions bounds how fast the requests of a service move between regions: the share of requests that
-// a region gets follows the share that the unbounded choice gives it at a bounded speed. An object that
-// was sent to another region under load so returns gradually when the load falls. The zero value
-// is ready to use; it starts with what the first requests ask for.
+// Regions bounds how fast the requests of a service move between regions: the share of
+// requests that a region gets follows the share that the unbounded choice gives it at a
+// bounded speed. An object that was sent to another region under load so returns gradually
+// when the load falls. The zero value is ready to use; it starts with what the first
+// requests ask for.
 type Regions struct {
 	wanted  [MaxRegions]float64
 	shares  [MaxRegions]float64
@@ -33,8 +34,8 @@
 // learnedRequests is how many requests are sent without a bound at first.
 const learnedRequests = 24
 
-// Want records the region that the unbounded choice gives a request, and returns the region that the
-// request should run in if it can end in time there.
+// Want records the region that the unbounded choice gives a request, and returns the region
+// that the request should run in if it can end in time there.
 func (r *Regions) Want(now time.Time, region int) int {
 	if region < 0 || region >= MaxRegions {
 		return region
--- a/internal/steer/completion/regions_test.go
+++ b/internal/steer/completion/regions_test.go
@@ -10,9 +10,9 @@
 	"lacewingramp.example/lacewingramp/internal/steer/completion"
 )
 
-// shift simulates the instances of a region, each with some requests a second, whose unbounded choice gives
-// home(t) of them to the own region. It returns the largest change of that share from one window of 2 s to the next,
-// and the share of the last window.
+// shift simulates the instances of a region, each with some requests a second, whose
+// unbounded choice gives home(t) of them to the own region. It returns the largest change
+// of that share from one window of 2 s to the next, and the share of the last window.
 func shift(instances int, rate float64, home func(seconds float64) float64) (largest, last float64) {
 	const windows, seconds = 20, 2
 	random := rand.New(rand.NewPCG(5, 5))
@@ -45,11 +45,12 @@
 }
 
 var _ = ginkgo.Describe("the movement of requests between regions", func() {
-	// The rule: not more than 15% of a region's requests change their region from one window of 2 s to
-	// the next when only the load changes.
+	// The rule: not more than 15% of a region's requests change their region from one
+	// window of 2 s to the next when only the load changes.
 	const most = 0.15
 
-	// Load: an overflow to another region that is over at once, for many and for few requests per instance.
+	// Load: an overflow to another region that is over at once, for many and for few
+	// requests per instance.
 	ginkgo.It("is gradual when the load falls at once", func() {
 		falls := func(t float64) float64 {
 			if t < 10 {
--- a/internal/steer/completion/work.go
+++ b/internal/steer/completion/work.go
@@ -47,7 +47,8 @@
 	return float64(took)*float64(took) < float64(e.Warm)*float64(e.Cold)
 }
 
-// Nearest returns the usual time of a run that took a duration: that of a warm one or of a cold one.
+// Nearest returns the usual time of a run that took a duration: that of a warm one or of a
+// cold one.
 func (e Estimate) Nearest(took time.Duration) time.Duration {
 	if e.IsWarm(took) {
 		return e.Warm
@@ -58,8 +59,9 @@
 // Known reports whether there is an estimate.
 func (e Estimate) Known() bool { return e.Warm > 0 }
 
-// Work learns the Estimate of a route. The zero value knows nothing. It takes the medians of the two groups of
-// the latest samples, so that garbage and a small part of slow targets do not move it.
+// Work learns the Estimate of a route. The zero value knows nothing. It takes the medians
+// of the two groups of the latest samples, so that garbage and a small part of slow targets
+// do not move it.
 type Work struct {
 	samples  [workSamples]time.Duration
 	count    int
@@ -106,8 +108,8 @@
 	w.set(middle, cold)
 }
 
-// set moves the estimate towards new values. Warm runs that come up below what was taken for warm runs
-// show that those were cold, so the estimate then changes at once.
+// set moves the estimate towards new values. Warm runs that come up below what was taken
+// for warm runs show that those were cold, so the estimate then changes at once.
 func (w *Work) set(warm, cold time.Duration) {
 	if old := w.estimate; old.Known() && float64(warm)*separateRatio > float64(old.Warm) {
 		warm, cold = step(old.Warm, warm), step(old.Cold, cold)
@@ -121,8 +123,8 @@
 	return time.Duration(min(max(float64(to), low), high))
 }
 
-// splitGroups returns where sorted samples fall into two groups, so that the logarithms differ as little as
-// possible within each, 0 if one group would be smaller than minGroup.
+// splitGroups returns where sorted samples fall into two groups, so that the logarithms
+// differ as little as possible within each, 0 if one group would be smaller than minGroup.
 func splitGroups(s []time.Duration) int {
 	if len(s) < 2*minGroup {
 		return 0
--- a/internal/steer/placement/capacity_test.go
+++ b/internal/steer/placement/capacity_test.go
@@ -124,13 +124,15 @@
 	})
 })
 
-// sharingFleet is a fleet of instances that send to targets of one region, and what is really there.
+// sharingFleet is a fleet of instances that send to targets of one region, and what is
+// really there.
 type sharingFleet struct {
 	placers []*placement.Placer
 	random  *rand.Rand
 	share   bool
 	now     time.Time
-	// requests are the numbers of requests at each target, and freeAt is when each of its slots becomes free.
+	// requests are the numbers of requests at each target, and freeAt is when each of its
+	// slots becomes free.
 	requests [sharingTargets]int
 	running  []runningRequest
 	freeAt   [sharingTargets][sharingSlots]time.Time
@@ -165,8 +167,8 @@
 	return f
 }
 
-// arrive sends requests whose rate rises and falls by 55%, each from a random instance to a target of
-// which each has a burst of its own at times.
+// arrive sends requests whose rate rises and falls by 55%, each from a random instance to a
+// target of which each has a burst of its own at times.
 func (f *sharingFleet) arrive() {
 	elapsed := f.now.Sub(start).Seconds()
 	rate := 250 * (1 + 0.55*math.Sin(elapsed/36*2*math.Pi))
--- a/internal/steer/placement/completion_test.go
+++ b/internal/steer/placement/completion_test.go
@@ -55,8 +55,8 @@
 	})
 }
 
-// burst chooses targets for requests for an object at the same moment, and returns how many each target
-// got, and a function that ends them all.
+// burst chooses targets for requests for an object at the same moment, and returns how many
+// each target got, and a function that ends them all.
 func burst(p *placement.Placer, now time.Time, object string, n int) (counts map[string]int, end func(time.Time)) {
 	counts = make(map[string]int)
 	var choices []placement.Choice
@@ -237,8 +237,9 @@
 	})
 })
 
-// BenchmarkChooseByCompletion measures a choice among 400 targets for many objects: with free targets, with targets
-// that are busy, so that many are compared, and with all targets at their limits.
+// BenchmarkChooseByCompletion measures a choice among 400 targets for many objects: with
+// free targets, with targets that are busy, so that many are compared, and with all targets
+// at their limits.
 func BenchmarkChooseByCompletion(b *testing.B) {
 	gomega.RegisterTestingT(b)
 	for _, requests := range []int{0, 5, 8} {
--- a/internal/steer/placement/placement_capacity.go
+++ b/internal/steer/placement/placement_capacity.go
@@ -15,9 +15,9 @@
 	ownReports = 64
 	// maxSharedAge is the age from which a report is not passed on.
 	maxSharedAge = 2 * time.Second
-	// A heartbeat carries sharedLoads reports divided by the number of instances, within bounds. At 300
-	// instances and 48 heartbeats a second, an instance's traffic is then below 8 KB/s. In smaller
-	// fleets each instance gets more responses.
+	// A heartbeat carries sharedLoads reports divided by the number of instances, within
+	// bounds. At 300 instances and 48 heartbeats a second, an instance's traffic is then
+	// below 8 KB/s. In smaller fleets each instance gets more responses.
 	sharedLoads    = 1500
 	minSharedLoads = 4
 	maxSharedLoads = 20
@@ -25,8 +25,8 @@
 	otherRegionsPart = 4
 	// otherRegionDelay is the usual delay of a message between regions.
 	otherRegionDelay = 30 * time.Millisecond
-	// resumeTime is how long after a pause of the process messages may have been received during it,
-	// so that their reports are older than they say.
+	// resumeTime is how long after a pause of the process messages may have been received
+	// during it, so that their reports are older than they say.
 	resumeTime = 250 * time.Millisecond
 )
 
--- a/internal/steer/placement/placement_completion.go
+++ b/internal/steer/placement/placement_completion.go
@@ -29,9 +29,9 @@
 	services map[string]*serviceWork
 }
 
-// serviceWork is what is known of the requests of a service. mean is the mean work of all routes.
-// regions holds the regions of its targets by index. weights and weightsAt are the weights of regions that the rankings are
-// based on.
+// serviceWork is what is known of the requests of a service. mean is the mean work of all
+// routes. regions holds the regions of its targets by index. weights and weightsAt are the
+// weights of regions that the rankings are based on.
 type serviceWork struct {
 	routes    map[string]*routeWork
 	mean      time.Duration
@@ -80,8 +80,8 @@
 	return len(s.regions) - 1
 }
 
-// chooseByCompletion picks a target by the expected completion of the request. It returns false as long as the
-// work of the route is not known.
+// chooseByCompletion picks a target by the expected completion of the request. It returns
+// false as long as the work of the route is not known.
 func (p *Placer) chooseByCompletion(now time.Time, q *Query) (Choice, bool) {
 	s := p.serviceWorkOf(q.Service)
 	route, ok := s.routes[q.Route]
@@ -113,9 +113,9 @@
 	return c, true
 }
 
-// walk is the state of one choice. The targets are considered in the order of the ranking, or from the index
-// first on if there is none. next is the position of the next one, and usable the number of usable targets that were
-// considered. indices holds their indices.
+// walk is the state of one choice. The targets are considered in the order of the ranking,
+// or from the index first on if there is none. next is the position of the next one, and
+// usable the number of usable targets that were considered. indices holds their indices.
 type walk struct {
 	now      time.Time
 	service  *serviceWork
@@ -130,7 +130,8 @@
 	bodyTime time.Duration
 	delays   [completion.MaxRegions]time.Duration
 	usable   int
-	// warm is the number of warm targets that were considered, and maxWarm that after which no others are.
+	// warm is the number of warm targets that were considered, and maxWarm that after which
+	// no others are.
 	warm    int
 	maxWarm int
 	indices [maxConsidered]int
@@ -172,7 +173,8 @@
 	}
 }
 
-// consider adds a target to the candidates, if it is not at its limit. It reports whether more should be considered.
+// consider adds a target to the candidates, if it is not at its limit. It reports whether
+// more should be considered.
 func (p *Placer) consider(w *walk, index, tried int) bool {
 	t, rank := w.targets[index], w.usable
 	w.indices[rank] = index
@@ -235,7 +237,8 @@
 	}
 }
 
-// bestOf returns the best candidate of a region if it suits the request, otherwise the best one of all.
+// bestOf returns the best candidate of a region if it suits the request, otherwise the best
+// one of all.
 func (p *Placer) bestOf(w *walk, q *Query, region int) (completion.Estimated, bool) {
 	if region != completion.AnyRegion {
 		p.advance(w, q, region)
@@ -278,13 +281,3 @@
 	}
 	s.mean += fractionOf(min(work, maxMeanRatio*s.mean)-s.mean, meanWorkWeight)
 }
-
-// UsualWork returns the usual work of a route at a target that is warm for the object and at one that is
-// not, 0 if not known.
-func (p *Placer) UsualWork(service, route string) completion.Estimate {
-	s, ok := p.completions.services[service]
-	if !ok || s.routes[route] == nil {
-		return completion.Estimate{}
-	}
-	return s.routes[route].work.Estimate()
-}
--- a/internal/steer/placement/placement_ranking.go
+++ b/internal/steer/placement/placement_ranking.go
@@ -34,8 +34,8 @@
 	at     time.Time
 }
 
-// rankingOf returns the ranking of an object, nil if the service has too many targets. It is computed
-// again when the targets or the weights of the regions have changed.
+// rankingOf returns the ranking of an object. It is computed again when the targets or the
+// weights of the regions have changed.
 func (p *Placer) rankingOf(now time.Time, q *Query, s *serviceWork) *objectRanking {
 	weights := p.regionWeights(now, q.Service)
 	if at := p.reservations[q.Service].steppedAt; !at.Equal(s.weightsAt) {
@@ -107,8 +107,8 @@
 	return false
 }
 
-// recordSent records that the object is sent to a target, in place of the one that it was sent to the longest
-// time ago.
+// recordSent records that the object is sent to a target, in place of the one that it was
+// sent to the longest time ago.
 func (r *objectRanking) recordSent(now time.Time, t *target) {
 	oldest := 0
 	for i := range r.sent {
