Say where the estimates of limits and of completion are not used

The limit of capacity.Target appears in no log line, and no request that is offered to the queue has an expected completion, as that is only known with a target. No code changes.

--- a/internal/steer/placement/placement_capacity.go
+++ b/internal/steer/placement/placement_capacity.go
@@ -168,8 +168,8 @@
 	}
 }
 
-// Estimate is what is estimated of a target, for logs and tests. ReportAge is the age of the latest
-// report, and Reported is false if there is none.
+// Estimate is what is estimated of a target. ReportAge is the age of the latest report, and
+// Reported is false if there is none. Limit is not used in choices.
 type Estimate struct {
 	Reported   bool
 	Requests   float64
