Don't take an announced close after a proof for a reset

Cause: a health response with Connection: close counted as a reset of the connection, so that all requests to the service had connections proven for 10 s more (found in review). Change: only resets, closes and time-outs count.

--- a/internal/call/exchange/prove.go
+++ b/internal/call/exchange/prove.go
@@ -16,11 +16,11 @@
 // so that a repeated response to the latter is not taken for one to the request.
 const provePrefix = "prove-"
 
-// Reasons why a connection is not used for a request.
-var (
-	errClosedEarly = errors.New("the target closed the new connection")
-	errNotProven   = errors.New("the target did not respond properly on the connection to be proven")
-)
+// ErrNotProven means that a target has responded to a proof in a way that leaves the connection
+// unusable, such as with the announcement to close it. It has not reset the connection.
+var ErrNotProven = errors.New("the target did not respond properly on the connection to be proven")
+
+var errClosedEarly = errors.New("the target closed the new connection")
 
 // prove returns an error if the target does not serve the connection, as far as can be known
 // before the request is written.
@@ -45,7 +45,7 @@
 	defer resp.Release()
 	headers := c.HeaderCodec.ResponseHeaders(resp.Status, resp.Header)
 	if resp.Close || (headers.ID != "" && headers.ID != id) || conn.reader.Buffered() > 0 {
-		return errNotProven
+		return ErrNotProven
 	}
 	conn.record(headers)
 	// A response to a health check may have no ID. A repeated one must not be taken for the
--- a/internal/entry/edge/edge_prove.go
+++ b/internal/entry/edge/edge_prove.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"lacewingramp.example/lacewingramp"
 	"lacewingramp.example/lacewingramp/internal/call/exchange"
 	"lacewingramp.example/lacewingramp/internal/call/message"
@@ -66,7 +68,8 @@
 
 // recordConnection records whether a target of a service has closed a new connection.
 func (e *Edge) recordConnection(service string, r exchange.Result) {
-	closed := r.ConnectionRefused || (r.ConnectionOpened && r.ConnectionBroken)
+	refused := r.ConnectionRefused && !errors.Is(r.Err, exchange.ErrNotProven)
+	closed := refused || (r.ConnectionOpened && r.ConnectionBroken)
 	if !closed {
 		return
 	}
