--- a/internal/steer/placement/placement_completion.go
+++ b/internal/steer/placement/placement_completion.go
@@ -88,7 +88,7 @@
 	if !ok || !route.work.Estimate().Known() || len(p.services[q.Service]) > maxRankedTargets {
 		return Choice{}, false
 	}
-	w := walk{
+	w := selection{
 		maxWarm: targetsPerObject,
 		now:     now, service: s, route: route, targets: p.services[q.Service],
 		request: completion.Request{Work: route.work.Estimate(), Mean: s.mean, Objective: q.Objective, Remaining: q.Remaining, Named: q.Object != ""},
@@ -113,10 +113,10 @@
 	return c, true
 }
 
-// walk is the state of one choice. The targets are considered in the order of the ranking,
+// selection is the state of one choice. The targets are considered in the order of the ranking,
 // or from the index first on if there is none. next is the position of the next one, and
 // usable the number of usable targets that were considered. indices holds their indices.
-type walk struct {
+type selection struct {
 	now      time.Time
 	service  *serviceWork
 	route    *routeWork
@@ -138,7 +138,7 @@
 }
 
 // delay returns the network delay to a region, with the time to send the body to another one.
-func (w *walk) delay(home, region string) time.Duration {
+func (w *selection) delay(home, region string) time.Duration {
 	d := w.route.delays.To(home, region)
 	if region != home {
 		d += w.bodyTime
@@ -147,7 +147,7 @@
 }
 
 // delayTo returns the network delay to a target.
-func (w *walk) delayTo(home string, t *target, region int) time.Duration {
+func (w *selection) delayTo(home string, t *target, region int) time.Duration {
 	if region < len(w.delays) && w.delays[region] > 0 {
 		return w.delays[region]
 	}
@@ -155,7 +155,7 @@
 }
 
 // index returns the index of the target at a position.
-func (w *walk) index(position int) int {
+func (w *selection) index(position int) int {
 	if w.ranking != nil {
 		return int(w.ranking.order[position])
 	}
@@ -163,7 +163,7 @@
 }
 
 // advance considers further targets until one of a region need not be compared with later ones.
-func (p *Placer) advance(w *walk, q *Query, region int) {
+func (p *Placer) advance(w *selection, q *Query, region int) {
 	for !w.full && w.next < len(w.targets) && !w.search.HasPrompt(region) {
 		i := w.index(w.next)
 		w.next++
@@ -175,7 +175,7 @@
 
 // consider adds a target to the candidates, if it is not at its limit. It reports whether
 // more should be considered.
-func (p *Placer) consider(w *walk, index, tried int) bool {
+func (p *Placer) consider(w *selection, index, tried int) bool {
 	t, rank := w.targets[index], w.usable
 	w.indices[rank] = index
 	w.usable++
@@ -196,7 +196,7 @@
 }
 
 // warmthAt returns the probability that a target is warm for the object.
-func (w *walk) warmthAt(t *target, rank int) float64 {
+func (w *selection) warmthAt(t *target, rank int) float64 {
 	switch {
 	case w.ranking == nil:
 		return unnamedWarmth
@@ -209,14 +209,14 @@
 }
 
 // takeBest picks the best candidate that has a token for the request if its rate is limited.
-func (p *Placer) takeBest(w *walk, q *Query) Choice {
-	insisted := completion.AnyRegion
-	p.advance(w, q, insisted)
+func (p *Placer) takeBest(w *selection, q *Query) Choice {
+	wantedRegion := completion.AnyRegion
+	p.advance(w, q, wantedRegion)
 	if best, ok := w.search.Best(completion.AnyRegion); ok && len(q.Tried) == 0 {
-		insisted = w.service.movement.Want(w.now, best.Region)
+		wantedRegion = w.service.movement.Want(w.now, best.Region)
 	}
 	for {
-		best, ok := p.bestOf(w, q, insisted)
+		best, ok := p.bestOf(w, q, wantedRegion)
 		if !ok {
 			return Choice{Full: true, RoomIn: w.search.RoomIn()}
 		}
@@ -239,7 +239,7 @@
 
 // bestOf returns the best candidate of a region if it suits the request, otherwise the best
 // one of all.
-func (p *Placer) bestOf(w *walk, q *Query, region int) (completion.Estimated, bool) {
+func (p *Placer) bestOf(w *selection, q *Query, region int) (completion.Estimated, bool) {
 	if region != completion.AnyRegion {
 		p.advance(w, q, region)
 		if best, ok := w.search.Best(region); ok && best.Suitable() {
