Keep both questions of load-awareness in one file

Cause: AnyLoadAware stood alone in a file beside LoadAware's (found in review). Change: moved, unchanged. Result: vet, lint and the tests of placement pass; behaviour is the same.

--- a/internal/steer/placement/placement_aware.go
+++ b/internal/steer/placement/placement_aware.go
@@ -18,6 +18,11 @@
 	return p.uploads || p.workReported[service]
 }
 
+// AnyLoadAware reports whether any service is load-aware.
+func (p *Placer) AnyLoadAware() bool {
+	return p.uploads || len(p.workReported) > 0
+}
+
 // recordWorkReport records that a target reports how long work takes there.
 func (p *Placer) recordWorkReport(t *target, load *lacewingramp.TargetLoad) {
 	if load.WorkPercent <= 0 || p.workReported[t.Service] {
