--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -241,8 +241,8 @@
 // Figures of the case foreignEntry: the work is that of the site's sign-offs, and stayLonger is how
 // much longer than drainS an upstream that leaves goes on ("a little longer").
 const (
-	foreignRounds  = 10
-	foreignLeave   = 3
+	foreignRounds  = 14
+	foreignLeave   = 2
 	foreignClients = 24
 	foreignWork    = 1160 * time.Millisecond
 	drainTime      = 2 * time.Second
@@ -253,7 +253,7 @@
 // foreignEntry lets upstreams leave whose entries are removed, and another writer write these
 // entries once more, with a field missing.
 func foreignEntry(r *record, trouble bool) int {
-	o := options{machines: 2, work: foreignWork, upstreams: 9, further: foreignRounds * foreignLeave, rate: 135}
+	o := options{machines: 2, work: foreignWork, upstreams: 10, further: foreignRounds * foreignLeave, rate: 135}
 	s, ok := awaitSite(o, r)
 	if !ok {
 		return exitFailed
@@ -261,11 +261,7 @@
 	defer s.close()
 	a, end := s.ordinary(foreignClients, 400*time.Millisecond)
 	gone := make(map[string]time.Time)
-	rounds := foreignRounds
-	if !trouble {
-		rounds = 3
-	}
-	for round := range rounds {
+	for round := range foreignRounds {
 		var leaving []*upstream
 		for n := range foreignLeave {
 			u, err := s.addUpstream(o, "signoff-ledger", s.machines[n%2].zone, 100+round*foreignLeave+n)
--- a/review/standin-2/upstream.go
+++ b/review/standin-2/upstream.go
@@ -112,6 +112,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	arrived := time.Now()
 	_, _ = io.Copy(io.Discard, r.Body)
 	u.waiting.Add(1)
 	select {
@@ -122,7 +123,7 @@
 		return
 	}
 	defer func() { <-u.running }()
-	u.record.ran(id, u.id)
+	u.record.ran(id, u.id, arrived)
 	select {
 	case <-time.After(u.work):
 	case <-r.Context().Done():
@@ -133,7 +134,7 @@
 	_, _ = io.WriteString(w, body)
 }
 
-// run is one request that an upstream began to work on.
+// run is one request that an upstream began to work on. at is when it reached the upstream.
 type run struct {
 	id, upstream string
 	at           time.Time
@@ -154,10 +155,10 @@
 	_, _ = fmt.Fprintf(r.file, "%8.3f s  "+format+"\n", append([]any{time.Since(r.startedAt).Seconds()}, args...)...)
 }
 
-func (r *record) ran(id, upstream string) {
+func (r *record) ran(id, upstream string, arrived time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.runs = append(r.runs, run{id: id, upstream: upstream, at: time.Now()})
+	r.runs = append(r.runs, run{id: id, upstream: upstream, at: arrived})
 }
 
 // runsOf returns the runs of each request.
