--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -32,7 +32,7 @@
 	}
 	r := &record{startedAt: time.Now(), file: file, runs: map[string]int{}}
 	trouble := os.Getenv("TROUBLE") != "0"
-	cases := map[string]func(*record, bool) int{"directory-heads": directoryHeads, "front-heads": frontHeads, "late-health": lateHealth, "stop-uploads": stopUploads}
+	cases := map[string]func(*record, bool) int{"directory-heads": directoryHeads, "front-heads": frontHeads}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		os.Exit(exitFailed)
