--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -222,7 +222,7 @@
 	}
 	defer func() { _ = c.Close() }()
 	_ = c.SetDeadline(time.Now().Add(frontPause + deadlineMs*time.Millisecond))
-	head := fmt.Sprintf("POST /sign/1 HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nCredential: %s\r\nContent-Length: 1\r\n", host, id, deadlineMs, key)
+	head := fmt.Sprintf("POST /sign/1 HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n%s: %d\r\nCredential: %s\r\nContent-Length: 1\r\n", host, id, names["timeLeft"], deadlineMs, key)
 	if _, err := c.Write(append(append([]byte(head), filler...), "\r\n"...)); err != nil {
 		return 0
 	}
@@ -237,3 +237,93 @@
 	_ = resp.Body.Close()
 	return resp.StatusCode
 }
+
+// Figures of the case foreignEntry: the work is that of the site's sign-offs, and stayLonger is how
+// much longer than drainS an upstream that leaves goes on ("a little longer").
+const (
+	foreignRounds  = 10
+	foreignLeave   = 3
+	foreignClients = 24
+	foreignWork    = 1160 * time.Millisecond
+	drainTime      = 2 * time.Second
+	foreignAfter   = 200 * time.Millisecond
+	stayLonger     = time.Second
+)
+
+// foreignEntry lets upstreams leave whose entries are removed, and another writer write these
+// entries once more, with a field missing.
+func foreignEntry(r *record, trouble bool) int {
+	o := options{machines: 2, work: foreignWork, upstreams: 9, further: foreignRounds * foreignLeave, rate: 135}
+	s, ok := awaitSite(o, r)
+	if !ok {
+		return exitFailed
+	}
+	defer s.close()
+	a, end := s.ordinary(foreignClients, 400*time.Millisecond)
+	gone := make(map[string]time.Time)
+	rounds := foreignRounds
+	if !trouble {
+		rounds = 3
+	}
+	for round := range rounds {
+		var leaving []*upstream
+		for n := range foreignLeave {
+			u, err := s.addUpstream(o, "signoff-ledger", s.machines[n%2].zone, 100+round*foreignLeave+n)
+			if err != nil {
+				r.line("cannot run: %v", err)
+				return exitFailed
+			}
+			leaving = append(leaving, u)
+		}
+		time.Sleep(4 * time.Second)
+		for _, u := range leaving {
+			u.leave(s.store)
+			gone[u.id] = time.Now()
+		}
+		r.line("round %d: %d upstreams leave, their entries are removed; they go on for %s", round+1, len(leaving), drainTime+stayLonger)
+		time.Sleep(drainTime + foreignAfter)
+		if trouble {
+			for _, u := range leaving {
+				entry := u.entry()
+				delete(entry, names["cold"])
+				s.store.put("servers/"+u.id, entry)
+			}
+			r.line("another writer writes their entries once more, without %s", names["cold"])
+		}
+		time.Sleep(stayLonger - foreignAfter)
+		for _, u := range leaving {
+			u.end()
+			s.store.remove("servers/" + u.id)
+		}
+		r.line("they have ended")
+	}
+	end()
+	return s.judgeDrain(a, gone)
+}
+
+// judgeDrain judges the rule DRAIN: "A request reaches an upstream later than `drainS` after a
+// machine in touch acknowledged that the upstream is `draining` or gone, taken from the client and
+// sent on by machines in touch." gone holds when the store acknowledged the removal of the entry.
+func (s *site) judgeDrain(a *attempts, gone map[string]time.Time) int {
+	answered, unanswered, _ := s.report(a)
+	byID := s.record.runsOf()
+	late, failed := 0, 0
+	for _, t := range a.list {
+		for _, x := range byID[t.id] {
+			ack, ok := gone[x.upstream]
+			if !ok || x.at.Sub(ack) <= drainTime || t.at.Before(ack) {
+				continue
+			}
+			late++
+			if t.status != 200 {
+				failed++
+			}
+			s.record.line("DRAIN: request %s %s %s reached %s %.3f s after its entry was removed; the client got %d", t.id, t.method, t.path, x.upstream, x.at.Sub(ack).Seconds(), t.status)
+		}
+	}
+	s.record.line("requests: %d answered, %d not; %d break the rule DRAIN, %d of these were not served", answered, unanswered, late, failed)
+	if late > 0 {
+		return exitBroken
+	}
+	return exitHeld
+}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -30,9 +30,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailed)
 	}
-	r := &record{startedAt: time.Now(), file: file, runs: map[string]int{}}
+	r := &record{startedAt: time.Now(), file: file}
 	trouble := os.Getenv("TROUBLE") != "0"
-	cases := map[string]func(*record, bool) int{"directory-heads": directoryHeads, "front-heads": frontHeads}
+	cases := map[string]func(*record, bool) int{"directory-heads": directoryHeads, "front-heads": frontHeads, "foreign-entry": foreignEntry}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		os.Exit(exitFailed)
@@ -62,8 +62,9 @@
 
 // report writes the attempts of the ordinary clients into the record.
 func (s *site) report(a *attempts) (answered, unanswered, lost int) {
+	byID := s.record.runsOf()
 	for _, t := range a.list {
-		runs := s.record.runsOf(t.id)
+		runs := len(byID[t.id])
 		s.record.mu.Lock()
 		_, _ = fmt.Fprintf(s.record.file, "%8.3f s  request %s %s %s to %s on a %s channel: status %d, ran %d times, after %.3f s %s\n",
 			t.at.Sub(s.record.startedAt).Seconds(), t.id, t.method, t.path, s.nameOf(t.to), t.channel, t.status, runs, t.took.Seconds(), t.note)
