Bound what connections receive and the process has not read

Callers saw: nothing in calm. A crowd of clients that sends bodies of legal size and stays ends a process: bytes that were received and not read count as its memory, and nothing bounded them.

Cause: the kernel keeps up to its receive window for each connection, some 64 to 128 KB before it is read for the first time and megabytes later, also for those that are not accepted yet (the backlog was the system's, 4,096), that wait for memory, or whose refusal is being sent. Their number was bounded by descriptors only. Neither the budget nor a test counted these bytes.

Where a crowd has hundreds of connections with small bodies, the queues are as large as all else.

Change: package listener sets a receive buffer of 8 KB on the listener, which connections inherit, and a backlog of 256 (callers) or 64. A body beyond 16 KB widens its connection to 256 KB; MaxWide bounds how many are wide, and such a connection closes after its body if no other could be widened. Connections are also bounded by memory: an eighth of it at 32 KB each, a quarter as many for relayed requests, which had no bound.

Ruled out: shrinking the window after the connection was accepted (what was offered cannot be taken back: 64 KB times 1,950), and fewer connections alone.

The soak now runs after the other packages, not beside them.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -30,8 +30,10 @@
 
 test: lint check
 
+# The soak runs after all other tests: its crowds are to run beside nothing else.
 check: build
-	$(GO) test ./...
+	$(GO) test $$($(GO) list ./... | grep -v /platform/soak)
+	$(GO) test ./platform/soak
 
 red:
 	LACEWINGRAMP_RED=1 $(GO) test ./internal/limit/quota ./e2e ./internal/operator/trial ./internal/proof/emulator ./platform/soak -ginkgo.focus "an instance is away|refuses nothing|runs or rate-limits|region.s cap|with hot objects|is seldom refused"
--- a/internal/call/caller/caller.go
+++ b/internal/call/caller/caller.go
@@ -57,11 +57,16 @@
 	// OnMalformed, if set, is called for each request that is not valid HTTP/1.1
 	// or exceeds the bounds.
 	OnMalformed func(remote string, err error)
-	// Requests bounds the memory of the bodies of requests, nil for no bound.
+	// Requests bounds the memory of requests, nil for no bound.
 	Requests *message.RequestBudget
 	// MaxConnections is the maximum number of open connections, 0 for no bound. Beyond it,
 	// the connection that has been longest without a byte is closed for a new one.
 	MaxConnections int
+	// MaxWide is the maximum number of connections on which large bodies arrive with a wide
+	// receive window. On others they arrive slower.
+	MaxWide int
+	// OnFault, if set, is called for faults of the system that do not end a request.
+	OnFault func(err error)
 	// SetRetryAfter, if set, sets the header that tells the caller of a request that was
 	// refused for lack of memory when to return.
 	SetRetryAfter func(h http.Header)
@@ -69,7 +74,9 @@
 	mu          sync.Mutex
 	draining    bool
 	connections map[*connection]struct{}
-	requests    sync.WaitGroup
+	// wide is the number of wide connections.
+	wide     int
+	requests sync.WaitGroup
 }
 
 // Serve accepts connections until the listener is closed.
@@ -132,6 +139,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.connections, c)
+	if c.wide {
+		s.wide--
+	}
 }
 
 // connection is one connection of a caller. openedAt is when it was accepted, and lastActive
@@ -139,13 +149,15 @@
 // the number of requests that were read and whose response has not been sent. reading is set
 // from the first byte of a request until it has been read. ending is set once no further
 // request is handled, if one is: the last response closes the connection. closed is set once
-// no further response may be sent.
+// no further response may be sent. wide, which the server's mu guards, is set once the
+// connection has been widened.
 type connection struct {
 	server     *Server
 	conn       net.Conn
 	reader     *message.Reader
 	openedAt   time.Time
 	lastActive atomic.Int64
+	wide       bool
 
 	mu       sync.Mutex
 	inflight int
@@ -254,6 +266,7 @@
 // requests.
 func (c *connection) handle(ctx context.Context, r *message.Request, receivedAt time.Time, previousSent <-chan struct{}) {
 	resp := c.server.Handle(ctx, r, receivedAt)
+	keepsOthersNarrow := len(r.Body) > message.NarrowBody && c.server.keepsOthersNarrow(c)
 	r.Release()
 	defer resp.Release()
 	<-previousSent
@@ -267,7 +280,7 @@
 		c.closeGracefullyLocked()
 		return
 	}
-	c.ending = c.ending || c.server.isDraining()
+	c.ending = c.ending || keepsOthersNarrow || c.server.isDraining()
 	closeAfter := r.Close || resp.Close || (c.ending && c.inflight == 0)
 	resp.Close = closeAfter
 	c.writeResponseLocked(resp, r.Method)
--- a/internal/call/caller/limit.go
+++ b/internal/call/caller/limit.go
@@ -18,6 +18,7 @@
 	c.reader.Requests = s.Requests
 	// The deadline is set anew for each request.
 	c.reader.Cut = func() { _ = conn.SetReadDeadline(time.Now()) }
+	c.reader.Widen = c.widen
 	return c
 }
 
--- a/internal/call/caller/limit_test.go
+++ b/internal/call/caller/limit_test.go
@@ -108,4 +108,39 @@
 			_, _ = readBody(bufio.NewReader(c))
 		}
 	})
+
+	// Guards against large bodies that arrive slowly for as long as another caller keeps its
+	// connection, and against a connection that is closed before all its responses were sent.
+	ginkgo.It("closes a wide connection after its large body if no other can be widened", func() {
+		const bodySize = 1 << 20
+		s := &caller.Server{
+			Requests: message.NewRequestBudget(64 << 20), MaxWide: 1,
+			Bounds: func() lacewingramp.Bounds {
+				b := bounds()
+				b.Body = bodySize
+				return b
+			},
+			OnFault: func(err error) { ginkgo.Fail(err.Error()) },
+			Handle:  func(_ context.Context, r *message.Request, _ time.Time) *message.Response { return response(r.URI) },
+		}
+		dial := serve(s)
+		send := func(c net.Conn, path string) {
+			go func() {
+				_, _ = io.WriteString(c, "GET /before HTTP/1.1\r\nHost: h\r\n\r\nPOST "+path+" HTTP/1.1\r\nHost: h\r\nContent-Length: 1048576\r\n\r\n"+strings.Repeat("x", bodySize))
+			}()
+		}
+		for range 3 {
+			wide := dial()
+			send(wide, "/wide")
+			r := bufio.NewReader(wide)
+			got, closes := readBody(r)
+			gomega.Expect(got).To(gomega.Equal("/before"))
+			gomega.Expect(closes).To(gomega.BeFalse())
+			got, closes = readBody(r)
+			gomega.Expect(got).To(gomega.Equal("/wide"))
+			gomega.Expect(closes).To(gomega.BeTrue())
+			gomega.Expect(wide.(*net.TCPConn).CloseWrite()).To(gomega.Succeed())
+			gomega.Eventually(s.OpenConnections).Should(gomega.Equal(0))
+		}
+	})
 })
--- a/internal/call/message/message.go
+++ b/internal/call/message/message.go
@@ -118,6 +118,8 @@
 	// set with it, ends a read of the connection that is waiting for bytes.
 	Requests *RequestBudget
 	Cut      func()
+	// Widen, if set, is called while a request body beyond NarrowBody arrives.
+	Widen func()
 
 	limit *limitReader
 }
--- a/internal/call/message/request_body.go
+++ b/internal/call/message/request_body.go
@@ -10,6 +10,9 @@
 )
 
 const (
+	// NarrowBody is the size of a request body, in bytes, that may arrive in a few parts. A
+	// larger one is worth a wide receive window.
+	NarrowBody = 16 << 10
 	// firstRequestBuffer is the size of the first buffer for a request body, in bytes. It is
 	// doubled up to maxHeapBody.
 	firstRequestBuffer = 4 << 10
@@ -22,12 +25,13 @@
 )
 
 // requestBody is a request body that is being read or was read. cut ends a read that is waiting
-// for its bytes. The budget guards the fields from taken on.
+// for its bytes, and widen lets them arrive faster. The budget guards the fields from taken on.
 type requestBody struct {
 	buf    []byte
 	pages  *pages
 	budget *RequestBudget
 	cut    func()
+	widen  func()
 
 	taken    int
 	lastRead time.Time
@@ -41,7 +45,7 @@
 
 // requestBody reads the body of a request.
 func (r *Reader) requestBody(req *http.Request, bounds lacewingramp.Bounds) (*requestBody, error) {
-	b := &requestBody{budget: r.Requests, cut: r.Cut}
+	b := &requestBody{budget: r.Requests, cut: r.Cut, widen: r.Widen}
 	if req.Body == nil || req.Body == http.NoBody {
 		return b, nil
 	}
@@ -99,6 +103,9 @@
 // grow makes the buffer larger, up to limit.
 func (b *requestBody) grow(limit int) error {
 	size := min(limit, max(firstRequestBuffer, 2*cap(b.buf)))
+	if size > NarrowBody && b.widen != nil {
+		b.widen()
+	}
 	if size <= maxHeapBody && b.pages == nil {
 		return b.growOnHeap(size)
 	}
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -32,6 +32,7 @@
 	"lacewingramp.example/lacewingramp"
 	"lacewingramp.example/lacewingramp/internal/call/caller"
 	"lacewingramp.example/lacewingramp/internal/call/exchange"
+	"lacewingramp.example/lacewingramp/internal/call/listener"
 	"lacewingramp.example/lacewingramp/internal/call/message"
 	"lacewingramp.example/lacewingramp/internal/call/poison"
 	"lacewingramp.example/lacewingramp/internal/change/rollout"
@@ -222,8 +223,10 @@
 	// requestRate is the moving average of the requests received per second.
 	requestRate float64
 	lookupCache lookupCache
-	admission   admissionState
-	store       storeState
+	// requestBudget bounds the memory of requests at all ports, nil for no bound.
+	requestBudget *message.RequestBudget
+	admission     admissionState
+	store         storeState
 	// tickedAt is when the last tick ran, and resumedAt when the first one ran after a pause
 	// of the process.
 	tickedAt  time.Time
@@ -244,8 +247,8 @@
 		e.client.Budget = message.NewBudget(s.Memory)
 		e.relayClient.Budget = e.client.Budget
 	}
-	e.relayServer = caller.Server{Handle: e.handleRelayed, Bounds: e.relayBounds, OnMalformed: e.logMalformed}
-	e.server = caller.Server{Handle: e.handle, Bounds: e.bounds, OnMalformed: e.logMalformed}
+	e.relayServer = caller.Server{Handle: e.handleRelayed, Bounds: e.relayBounds}
+	e.server = caller.Server{Handle: e.handle, Bounds: e.bounds}
 	e.boundCallers()
 	e.placer = placement.Placer{Self: s.Name, Regions: s.Regions, HomeRegion: s.Region}
 	if !s.Bootstrap {
@@ -272,11 +275,11 @@
 
 // Run serves until ctx ends, then drains and stops.
 func (e *Edge) Run(ctx context.Context) error {
-	callerListener, err := net.Listen("tcp4", e.CallerAddress)
+	callerListener, err := listener.Listen(e.CallerAddress, callerBacklog, e.logUnbounded)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	peerListener, err := net.Listen("tcp4", e.Peer)
+	peerListener, err := listener.Listen(e.Peer, otherBacklog, e.logUnbounded)
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
@@ -320,7 +323,7 @@
 	if e.Relay == "" {
 		return nil, nil
 	}
-	l, err := net.Listen("tcp4", e.Relay)
+	l, err := listener.Listen(e.Relay, otherBacklog, e.logUnbounded)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for relayed requests")
 	}
--- a/internal/entry/edge/edge_callers.go
+++ b/internal/entry/edge/edge_callers.go
@@ -3,37 +3,96 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
+	"lacewingramp.example/lacewingramp/internal/call/caller"
+	"lacewingramp.example/lacewingramp/internal/call/listener"
 	"lacewingramp.example/lacewingramp/internal/call/message"
 )
 
 const (
-	// reservedDescriptors are kept for the store, peers, lookups, metrics and files.
+	// reservedDescriptors are kept for files and the store.
 	reservedDescriptors = 200
 	// callerDescriptors is the part of the other descriptors that callers' connections may
-	// take, one in callerDescriptors. The rest is for connections to targets and relays.
+	// take, one in callerDescriptors. The rest is for connections to targets and at the other
+	// ports.
 	callerDescriptors = 2
-	// minCallerConnections is the minimum bound of callers' connections.
-	minCallerConnections = 16
+	// connectionBytes is what a connection may take beside its requests: what it has received
+	// and was not read, its goroutine and its buffers.
+	connectionBytes = listener.QueueBytes + 16<<10
+	// callerMemory is the part of the memory that callers' connections may take, and
+	// wideMemory the part that wide ones may take beside: one in each.
+	callerMemory = 8
+	wideMemory   = 32
+	// smallerPorts is how many times fewer connections there may be for relayed requests than of
+	// callers.
+	smallerPorts = 4
+	// minConnections is the minimum bound of connections at one port.
+	minConnections = 16
+	// Connections that wait to be accepted, at the port for callers and at the others.
+	callerBacklog = 256
+	otherBacklog  = 64
 	// bodyRetryAfter is the delay after which a caller may send a body again for which there
 	// was no memory, and bodyRetryJitter the maximum of a random delay that is added.
 	bodyRetryAfter  = 500 * time.Millisecond
 	bodyRetryJitter = time.Second
 )
 
-// boundCallers bounds the memory of requests' bodies and the number of callers' connections,
-// as far as the limits of the process are known.
+// boundCallers bounds the memory of requests and the number of connections, as far as the limits
+// of the process are known.
 func (e *Edge) boundCallers() {
+	e.server.MaxConnections = e.maxConnections()
+	e.relayServer.MaxConnections = e.fewerConnections()
+	for _, s := range []*caller.Server{&e.server, &e.relayServer} {
+		e.bound(s)
+	}
 	if e.Memory > 0 {
-		e.server.Requests = message.NewRequestBudget(e.Memory)
-		e.relayServer.Requests = e.server.Requests
+		e.server.MaxWide = max(1, int(e.Memory/wideMemory/listener.WideQueueBytes))
+		e.relayServer.MaxWide = max(1, e.server.MaxWide/smallerPorts)
+	}
+}
+
+// bound sets what the servers at all ports share.
+func (e *Edge) bound(s *caller.Server) {
+	if e.Memory > 0 && e.requestBudget == nil {
+		e.requestBudget = message.NewRequestBudget(e.Memory)
 	}
+	s.Requests = e.requestBudget
+	s.OnMalformed = e.logMalformed
+	s.OnFault = e.logUnbounded
+	s.SetRetryAfter = e.setBodyRetryAfter
+}
+
+// maxConnections returns the maximum number of callers' connections, 0 if no limit is known.
+func (e *Edge) maxConnections() int {
+	var bounds []int
 	if e.MaxDescriptors > 0 {
-		e.server.MaxConnections = max(minCallerConnections, (e.MaxDescriptors-reservedDescriptors)/callerDescriptors)
+		bounds = append(bounds, (e.MaxDescriptors-reservedDescriptors)/callerDescriptors)
+	}
+	if e.Memory > 0 {
+		bounds = append(bounds, int(e.Memory/callerMemory/connectionBytes))
+	}
+	if len(bounds) == 0 {
+		return 0
+	}
+	return max(minConnections, slices.Min(bounds))
+}
+
+// fewerConnections returns the maximum number of connections at a port that is not for callers'
+// requests, 0 if no limit is known.
+func (e *Edge) fewerConnections() int {
+	n := e.maxConnections()
+	if n == 0 {
+		return 0
+	}
+	return max(minConnections, n/smallerPorts)
+}
+
+func (e *Edge) logUnbounded(err error) {
+	if e.loglimit.Allow(e.Timer.Now(), "unbounded") {
+		e.Log.Warn().Err(err).Msg("the system did not bound what connections receive")
 	}
-	e.server.SetRetryAfter = e.setBodyRetryAfter
-	e.relayServer.SetRetryAfter = e.setBodyRetryAfter
 }
 
 func (e *Edge) setBodyRetryAfter(h http.Header) {
