Let heads take memory from the budget of requests

Cause: heads were bounded by bytes, each alone. A line of 5 bytes takes over a hundred parsed, so that 600 connections held 168 MB. Requests that were being handled, up to 16 a connection, counted nothing either.

Change: a request takes memory from the budget from its first byte until it is released: three times the bytes of its head and 192 bytes a line, before the lines are parsed, and 8 KB for its goroutine. Heads may take a quarter of the budget, the last quarter of that only small ones (32 KB of memory, which an ordinary head of 50 lines has). As for bodies, a head that finds none cuts the one that has been longest without progress, or is refused with 503 and Retry-After: it has not been read whole, so it has not run. The error stays: bufio hands out a partial line and forgets it, and what followed the lost bytes could have been read as another request (a test shows it without this line).

The budget is 13/32 of the memory instead of 12/32, as ordinary requests now take some of it beside a body of 64 MiB with 184 MB. In return responses have an eighth (a quarter before; 24 MiB at least, which one of 16 MiB needs while it is read), and the runtime's soft limit is 0.38 of the memory (0.45).

Tests, on in MB of 96: heads in many lines 171, without an end 174, one line without an end 105, 200 requests behind each other on a connection 105, the same whose responses are not read 108: failed; long chunk extensions and trailers 54: held there. Now 33, 29, 17, 33, 33 and 17.

--- a/internal/call/message/budget.go
+++ b/internal/call/message/budget.go
@@ -26,10 +26,10 @@
 const (
 	// budgetFraction is the part of a process's memory that its Budget holds: one in
 	// budgetFraction.
-	budgetFraction = 4
-	// minBudget is enough for one response of the maximum size. While its buffer is
-	// doubled, the old and the new one exist.
-	minBudget = 2 * MaxResponseBody
+	budgetFraction = 8
+	// minBudget is enough for one response of the maximum size. While its buffer is doubled
+	// for the last time, the old and the new one exist.
+	minBudget = MaxResponseBody + MaxResponseBody/2
 )
 
 // ReadAll reads a response body of at most limit bytes to its end, and takes its memory from the
--- a/internal/call/message/message.go
+++ b/internal/call/message/message.go
@@ -74,15 +74,18 @@
 	// response.
 	Close bool
 
-	body *requestBody
+	body   *requestBody
+	memory *requestMemory
 }
 
-// Release gives the memory of the body back to the budget from which it was taken. Nothing may
+// Release gives the memory of the request back to the budget from which it was taken. Nothing may
 // use Body any longer. It may be called more than once.
 func (r *Request) Release() {
 	r.Body = nil
 	r.body.release()
 	r.body = nil
+	r.memory.release()
+	r.memory = nil
 }
 
 // Response is one complete response. Release has to be called when one that was read is no
@@ -114,8 +117,8 @@
 	*bufio.Reader
 	// Budget bounds the memory of response bodies.
 	Budget *Budget
-	// Requests bounds the memory of request bodies, nil for no bound. Cut, which has to be
-	// set with it, ends a read of the connection that is waiting for bytes.
+	// Requests bounds the memory of requests, nil for no bound. Cut, which has to be set with
+	// it, ends a read of the connection that is waiting for bytes.
 	Requests *RequestBudget
 	Cut      func()
 	// Widen, if set, is called while a request body beyond NarrowBody arrives.
@@ -138,17 +141,24 @@
 
 // limitReader fails after the remaining bytes have been read, or a buffer that holds the
 // last of remainingLines line feeds. There is no limit if remaining is negative. err is the
-// last error of the reader below it.
+// last error of the reader below it. While head is set, what is read of a head takes memory;
+// noMemory is the error if there was none.
 type limitReader struct {
 	reader         io.Reader
 	remaining      int64
 	remainingLines int
 	err            error
+	head           *requestMemory
+	noMemory       error
 }
 
 var lineFeed = []byte{'\n'}
 
 func (l *limitReader) Read(p []byte) (int, error) {
+	if l.noMemory != nil {
+		// The bytes that found no memory are lost, and so is the connection.
+		return 0, l.noMemory
+	}
 	if l.remaining > 0 && l.remainingLines == 0 {
 		l.remaining = 0
 	}
@@ -164,14 +174,54 @@
 		l.remainingLines = max(0, l.remainingLines-bytes.Count(p[:n], lineFeed))
 	}
 	l.err = err
+	if l.noMemory = l.head.takeHead(p[:n]); l.noMemory != nil {
+		return 0, l.noMemory
+	}
 	return n, err
 }
 
 // Request reads one request. sendContinue, if not nil, is called before the body is
 // read if the caller has sent "Expect: 100-continue".
 func (r *Reader) Request(bounds lacewingramp.Bounds, sendContinue func() error) (*Request, error) {
+	m := r.Requests.begin(r.Cut)
+	req, err := r.request(bounds, sendContinue, m)
+	if err = m.end(err); err != nil {
+		m.release()
+		return nil, err
+	}
+	return req, nil
+}
+
+func (r *Reader) request(bounds lacewingramp.Bounds, sendContinue func() error, m *requestMemory) (*Request, error) {
+	req, err := r.requestHead(bounds, m)
+	if err != nil {
+		return nil, err
+	}
+	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") && sendContinue != nil {
+		if err := sendContinue(); err != nil {
+			return nil, err
+		}
+	}
+	body, err := r.requestBody(req, bounds, m)
+	if err != nil {
+		return nil, err
+	}
+	return &Request{
+		Method: req.Method, URI: req.RequestURI, Host: req.Host, Path: req.URL.EscapedPath(),
+		Header: req.Header, Body: body.buf, Close: req.Close, body: body, memory: m,
+	}, nil
+}
+
+// requestHead reads and checks the head of a request. Its memory is taken before its lines are
+// parsed.
+func (r *Reader) requestHead(bounds lacewingramp.Bounds, m *requestMemory) (*http.Request, error) {
 	r.limit.remaining, r.limit.remainingLines = bounds.Header+headerSlack, math.MaxInt
+	r.limit.head = m
 	req, err := http.ReadRequest(r.Reader)
+	r.limit.head = nil
+	if r.limit.noMemory != nil {
+		return nil, r.limit.noMemory
+	}
 	if r.limit.remaining == 0 {
 		return nil, &FormatError{Status: http.StatusRequestHeaderFieldsTooLarge, Detail: "request header too large"}
 	}
@@ -186,19 +236,7 @@
 	if err := checkRequest(req, bounds); err != nil {
 		return nil, err
 	}
-	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") && sendContinue != nil {
-		if err := sendContinue(); err != nil {
-			return nil, err
-		}
-	}
-	body, err := r.requestBody(req, bounds)
-	if err != nil {
-		return nil, err
-	}
-	return &Request{
-		Method: req.Method, URI: req.RequestURI, Host: req.Host, Path: req.URL.EscapedPath(),
-		Header: req.Header, Body: body.buf, Close: req.Close, body: body,
-	}, nil
+	return req, m.settleHead(req)
 }
 
 func checkRequest(req *http.Request, bounds lacewingramp.Bounds) error {
--- a/internal/call/message/request_body.go
+++ b/internal/call/message/request_body.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"time"
 
 	"lacewingramp.example/lacewingramp"
 )
@@ -24,42 +23,27 @@
 	pageStep = 256 << 10
 )
 
-// requestBody is a request body that is being read or was read. cut ends a read that is waiting
-// for its bytes, and widen lets them arrive faster. The budget guards the fields from taken on.
+// requestBody is a request body that is being read or was read. memory is what its request
+// takes, and widen lets its bytes arrive faster.
 type requestBody struct {
 	buf    []byte
 	pages  *pages
-	budget *RequestBudget
-	cut    func()
+	memory *requestMemory
 	widen  func()
-
-	taken    int
-	lastRead time.Time
-	wasCut   bool
-}
-
-// small reports whether the body is still a small one with n bytes more.
-func (b *requestBody) small(n int) bool {
-	return b.taken+n <= smallBody
 }
 
 // requestBody reads the body of a request.
-func (r *Reader) requestBody(req *http.Request, bounds lacewingramp.Bounds) (*requestBody, error) {
-	b := &requestBody{budget: r.Requests, cut: r.Cut, widen: r.Widen}
+func (r *Reader) requestBody(req *http.Request, bounds lacewingramp.Bounds, m *requestMemory) (*requestBody, error) {
+	b := &requestBody{memory: m, widen: r.Widen}
 	if req.Body == nil || req.Body == http.NoBody {
 		return b, nil
 	}
-	if b.budget == nil {
+	if m == nil {
 		var err error
 		b.buf, err = readUnbudgeted(req, bounds)
 		return b, err
 	}
-	b.budget.begin(b)
-	err := b.read(req.Body, req.ContentLength, int(bounds.Body))
-	if cut := b.budget.end(b); cut && err != nil {
-		err = errRequestCut
-	}
-	if err != nil {
+	if err := b.read(req.Body, req.ContentLength, int(bounds.Body)); err != nil {
 		b.release()
 		return nil, err
 	}
@@ -85,7 +69,7 @@
 		if err != nil {
 			return requestError(err)
 		}
-		b.budget.progress(b)
+		b.memory.budget.progress(b.memory)
 	}
 	if length >= 0 {
 		return nil
@@ -113,7 +97,7 @@
 }
 
 func (b *requestBody) growOnHeap(size int) error {
-	if err := b.budget.acquire(b, size-cap(b.buf)); err != nil {
+	if err := b.memory.budget.acquire(b.memory, size-cap(b.buf)); err != nil {
 		return err
 	}
 	larger := make([]byte, len(b.buf), size)
@@ -124,7 +108,7 @@
 
 func (b *requestBody) growInPages(limit int) error {
 	size := min(limit, cap(b.buf)+pageStep)
-	if err := b.budget.acquire(b, size-cap(b.buf)); err != nil {
+	if err := b.memory.budget.acquire(b.memory, size-cap(b.buf)); err != nil {
 		return err
 	}
 	first := b.pages == nil
@@ -146,15 +130,14 @@
 	return nil
 }
 
-// release gives back the memory of the body. Nothing may use its bytes any longer.
+// release gives back the pages of the body. Nothing may use its bytes any longer.
 func (b *requestBody) release() {
-	if b == nil || b.budget == nil {
+	if b == nil || b.memory == nil {
 		return
 	}
 	b.buf = nil
 	b.pages.release()
 	b.pages = nil
-	b.budget.giveBack(b)
 }
 
 // readUnbudgeted reads a body where no budget is set.
--- a/internal/call/message/request_budget.go
+++ b/internal/call/message/request_budget.go
@@ -6,57 +6,97 @@
 	"time"
 )
 
-// RequestBudget bounds the memory of all request bodies that are being read, or were read and
-// not released, at one time. Bodies take memory as their bytes arrive, whatever length they
-// have announced. A part is reserved for small bodies. While memory is short, a body that needs
+// RequestBudget bounds the memory of all requests that are being read, or were read and not
+// released, at one time. They take memory as their bytes arrive, whatever length they have
+// announced. A part is reserved for small requests. While memory is short, a request that needs
 // some cuts the one that has been longest without progress. It is safe for concurrent use.
 type RequestBudget struct {
 	mu   sync.Mutex
 	free int
-	// reserve is the part that only small bodies may take.
-	reserve int
-	// reading holds the bodies that have not been read to their end.
-	reading map[*requestBody]struct{}
+	// freeHeads is the part of free that heads may take.
+	freeHeads int
+	// reserve is the part of free that only small requests may take, and headReserve the part
+	// of freeHeads that only small heads may take.
+	reserve     int
+	headReserve int
+	// reading holds the requests that have not been read to their end.
+	reading map[*requestMemory]struct{}
 }
 
 const (
-	// requestBudgetEighths is the part of a process's memory that its RequestBudget holds, in
-	// eighths: with 184 MB, enough for a body of 64 MiB and the reserve. Response bodies take
-	// up to a quarter of the memory.
-	requestBudgetEighths = 3
-	// reserveFraction is the part of the budget that is reserved for small bodies: one in
+	// requestBudgetPart is the part of a process's memory that its RequestBudget holds, in parts
+	// of 32: with 184 MB, enough for a body of 64 MiB beside some hundred ordinary requests and
+	// the reserve.
+	requestBudgetPart = 13
+	// minRequestBudget is enough for a few ordinary requests, in bytes.
+	minRequestBudget = 1 << 20
+	// reserveFraction is the part of the budget that is reserved for small requests: one in
 	// reserveFraction.
 	reserveFraction = 16
-	// smallBody is the maximum size of a body that may take memory of the reserve, in bytes.
-	smallBody = 512 << 10
-	// minIdleTime is how long a body has to be without progress before it is cut. A process
+	// headFraction is the part of the budget that heads may take, and headReserveFraction the
+	// part of that which is reserved for small ones: one in each.
+	headFraction        = 4
+	headReserveFraction = 4
+	// smallRequest is the maximum size of a request that may take memory of the reserve, and
+	// smallHead that of a small head, in bytes of memory.
+	smallRequest = 512 << 10
+	smallHead    = 32 << 10
+	// minIdleTime is how long a request has to be without progress before it is cut. A process
 	// with a small share of a CPU leaves bytes unread for some tenths of a second.
 	minIdleTime = 500 * time.Millisecond
-	// A body waits for up to maxWaits times waitInterval for the memory of one that was cut,
-	// and a small body for that of any other.
+	// A request waits for up to maxWaits times waitInterval for the memory of one that was
+	// cut, and a small request for that of any other.
 	waitInterval = 5 * time.Millisecond
 	maxWaits     = 20
 )
 
 var (
-	errRequestBudget error = &FormatError{Status: http.StatusServiceUnavailable, Detail: "too many large request bodies at one time"}
-	errRequestCut    error = &FormatError{Status: http.StatusServiceUnavailable, Detail: "the request body made no progress while memory was short"}
+	errRequestBudget error = &FormatError{Status: http.StatusServiceUnavailable, Detail: "too many large requests at one time"}
+	errRequestCut    error = &FormatError{Status: http.StatusServiceUnavailable, Detail: "the request made no progress while memory was short"}
 )
 
 // NewRequestBudget returns a RequestBudget for a process with the given memory limit in
 // bytes.
 func NewRequestBudget(memory int64) *RequestBudget {
-	size := int(memory / 8 * requestBudgetEighths)
-	return &RequestBudget{free: size, reserve: size / reserveFraction, reading: make(map[*requestBody]struct{})}
+	size := max(minRequestBudget, int(memory/32*requestBudgetPart))
+	heads := size / headFraction
+	return &RequestBudget{
+		free: size, reserve: size / reserveFraction,
+		freeHeads: heads, headReserve: heads / headReserveFraction,
+		reading: make(map[*requestMemory]struct{}),
+	}
 }
 
-// acquire takes n bytes for a body that is being read. It may wait for them.
-func (r *RequestBudget) acquire(b *requestBody, n int) error {
+// begin adds a request that is being read. It takes no memory yet, also for a nil budget.
+func (r *RequestBudget) begin(cut func()) *requestMemory {
+	if r == nil {
+		return nil
+	}
+	m := &requestMemory{budget: r, cut: cut, lastRead: time.Now()}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reading[m] = struct{}{}
+	return m
+}
+
+// acquire takes n bytes for the body of a request that is being read. It may wait for them.
+func (r *RequestBudget) acquire(m *requestMemory, n int) error {
+	return r.await(m, n, m.small, r.take, func(o *requestMemory) int { return o.taken })
+}
+
+// acquireHead takes n bytes for the head of a request that is being read. It may wait for them.
+func (r *RequestBudget) acquireHead(m *requestMemory, n int) error {
+	return r.await(m, n, m.smallHead, r.takeHead, func(o *requestMemory) int { return o.head })
+}
+
+// await takes n bytes by take. While there are none, it cuts the request that has been longest
+// without progress among those that hold as many. A small request also waits if there is none.
+func (r *RequestBudget) await(m *requestMemory, n int, small func(n int) bool, take func(m *requestMemory, n int) bool, held func(*requestMemory) int) error {
 	for range maxWaits {
-		if r.take(b, n) {
+		if take(m, n) {
 			return nil
 		}
-		if !r.cutIdle(time.Now(), n) && !b.small(n) {
+		if !r.cutIdle(m, n, held) && !small(n) {
 			return errRequestBudget
 		}
 		time.Sleep(waitInterval)
@@ -64,34 +104,62 @@
 	return errRequestBudget
 }
 
-func (r *RequestBudget) take(b *requestBody, n int) bool {
+// small reports whether the request is still a small one with n bytes more.
+func (m *requestMemory) small(n int) bool {
+	return m.taken+n <= smallRequest
+}
+
+// smallHead reports whether the head is still a small one with n bytes more.
+func (m *requestMemory) smallHead(n int) bool {
+	return m.head+n <= smallHead
+}
+
+func (r *RequestBudget) take(m *requestMemory, n int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.takeLocked(m, n)
+}
+
+func (r *RequestBudget) takeLocked(m *requestMemory, n int) bool {
 	left := r.free - n
-	if left < 0 || left < r.reserve && !b.small(n) {
+	if left < 0 || left < r.reserve && !m.small(n) {
 		return false
 	}
 	r.free = left
-	b.taken += n
+	m.taken += n
+	m.lastRead = time.Now()
+	return true
+}
+
+func (r *RequestBudget) takeHead(m *requestMemory, n int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	left := r.freeHeads - n
+	if left < 0 || left < r.headReserve && !m.smallHead(n) || !r.takeLocked(m, n) {
+		return false
+	}
+	r.freeHeads = left
+	m.head += n
 	return true
 }
 
-// cutIdle cuts the body that has been longest without progress among those that hold at least
-// n bytes. It reports false if there is none; a body that was cut before and still holds its
-// memory counts as one.
-func (r *RequestBudget) cutIdle(now time.Time, n int) bool {
+// cutIdle cuts the request that has been longest without progress among those that hold at least
+// n bytes, other than m. It reports false if there is none; one that was cut before and still
+// holds its memory counts.
+func (r *RequestBudget) cutIdle(m *requestMemory, n int, held func(*requestMemory) int) bool {
+	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var idlest *requestBody
-	for b := range r.reading {
-		if b.taken < n || now.Sub(b.lastRead) < minIdleTime {
+	var idlest *requestMemory
+	for o := range r.reading {
+		if o == m || held(o) < n || now.Sub(o.lastRead) < minIdleTime {
 			continue
 		}
-		if b.wasCut {
+		if o.wasCut {
 			return true
 		}
-		if idlest == nil || b.lastRead.Before(idlest.lastRead) {
-			idlest = b
+		if idlest == nil || o.lastRead.Before(idlest.lastRead) {
+			idlest = o
 		}
 	}
 	if idlest == nil {
@@ -102,33 +170,36 @@
 	return true
 }
 
-// begin adds a body that is being read.
-func (r *RequestBudget) begin(b *requestBody) {
+// progress records that bytes of a body have arrived.
+func (r *RequestBudget) progress(m *requestMemory) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b.lastRead = time.Now()
-	r.reading[b] = struct{}{}
+	m.lastRead = time.Now()
 }
 
-// progress records that bytes of a body have arrived.
-func (r *RequestBudget) progress(b *requestBody) {
+// end removes a request that is no longer being read, and reports whether it was cut.
+func (r *RequestBudget) end(m *requestMemory) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b.lastRead = time.Now()
+	delete(r.reading, m)
+	return m.wasCut
 }
 
-// end removes a body that is no longer being read, and reports whether it was cut.
-func (r *RequestBudget) end(b *requestBody) bool {
+// giveBackHead gives back n bytes of the memory of a head.
+func (r *RequestBudget) giveBackHead(m *requestMemory, n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.reading, b)
-	return b.wasCut
+	r.freeHeads += n
+	r.free += n
+	m.head -= n
+	m.taken -= n
 }
 
-// giveBack gives back all memory of a body.
-func (r *RequestBudget) giveBack(b *requestBody) {
+// giveBack gives back all memory of a request.
+func (r *RequestBudget) giveBack(m *requestMemory) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.free += b.taken
-	b.taken = 0
+	r.free += m.taken
+	r.freeHeads += m.head
+	m.taken, m.head = 0, 0
 }
--- a/internal/operator/command/cmd_serve.go
+++ b/internal/operator/command/cmd_serve.go
@@ -27,9 +27,8 @@
 	// the standard output is slow. Further lines are dropped and counted.
 	logBufferLines = 4096
 	// memoryLimitFraction times the process's memory limit is the soft memory limit of
-	// the Go runtime. Request bodies take up to 3/8 more outside its heap, and the program
-	// itself some 15 MB.
-	memoryLimitFraction = 0.45
+	// the Go runtime. docs/design/bodies.md lists what the process takes beside.
+	memoryLimitFraction = 0.38
 	// httpTimeout is the timeout for idle connections and for reading request headers
 	// on the listeners for lookups, readiness and metrics.
 	httpTimeout = 30 * time.Second
