Serve lookups, readiness checks and metrics within the bounds of callers

Cause: these ports were served by net/http's server with its defaults: heads of 1 MB, whose short lines take some twenty times their size once they are parsed, 30 s for a head, and as many connections as there are descriptors.

Change: the server for callers serves them, through an adapter for http.Handler: the same limits of heads, bodies and times from the table, the same budget, the same receive windows. Lookups may have a quarter as many connections as callers, readiness checks and metrics 32 each; beyond that the one longest without a byte is replaced. Idle connections are kept for 30 s as before.

--- a/internal/entry/edge/edge_callers.go
+++ b/internal/entry/edge/edge_callers.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"lacewingramp.example/lacewingramp"
 	"lacewingramp.example/lacewingramp/internal/call/caller"
 	"lacewingramp.example/lacewingramp/internal/call/listener"
 	"lacewingramp.example/lacewingramp/internal/call/message"
@@ -25,14 +26,20 @@
 	// wideMemory the part that wide ones may take beside: one in each.
 	callerMemory = 8
 	wideMemory   = 32
-	// smallerPorts is how many times fewer connections there may be for relayed requests than of
-	// callers.
+	// smallerPorts is how many times fewer connections there may be for relayed requests, and
+	// for lookups, than of callers.
 	smallerPorts = 4
 	// minConnections is the minimum bound of connections at one port.
 	minConnections = 16
+	// maxCheckConnections is the maximum number of connections for readiness checks, and for
+	// metrics.
+	maxCheckConnections = 32
 	// Connections that wait to be accepted, at the port for callers and at the others.
 	callerBacklog = 256
 	otherBacklog  = 64
+	// checkIdleTimeout is how long connections for lookups, readiness checks and metrics may
+	// be idle, at least.
+	checkIdleTimeout = 30 * time.Second
 	// bodyRetryAfter is the delay after which a caller may send a body again for which there
 	// was no memory, and bodyRetryJitter the maximum of a random delay that is added.
 	bodyRetryAfter  = 500 * time.Millisecond
@@ -89,6 +96,36 @@
 	return max(minConnections, n/smallerPorts)
 }
 
+// ServeLookups answers requests at address with h, within the bounds for lookups. It returns an
+// error if it cannot listen there.
+func (e *Edge) ServeLookups(address string, h http.Handler) error {
+	return e.serveHTTP(address, h, e.fewerConnections())
+}
+
+// ServeChecks answers requests at address with h, within the bounds for readiness checks and
+// metrics. It returns an error if it cannot listen there.
+func (e *Edge) ServeChecks(address string, h http.Handler) error {
+	return e.serveHTTP(address, h, maxCheckConnections)
+}
+
+func (e *Edge) serveHTTP(address string, h http.Handler, maxConnections int) error {
+	l, err := listener.Listen(address, otherBacklog, e.logUnbounded)
+	if err != nil {
+		return err
+	}
+	s := &caller.Server{Handle: caller.HTTP(h), Bounds: e.checkBounds, MaxConnections: maxConnections}
+	e.bound(s)
+	go func() { e.logServeError(s.Serve(l), "serving "+address) }()
+	return nil
+}
+
+// checkBounds returns the bounds of requests that are not callers' requests to routes.
+func (e *Edge) checkBounds() lacewingramp.Bounds {
+	b := e.bounds()
+	b.IdleTimeout = max(b.IdleTimeout, lacewingramp.Duration(checkIdleTimeout))
+	return b
+}
+
 func (e *Edge) logUnbounded(err error) {
 	if e.loglimit.Allow(e.Timer.Now(), "unbounded") {
 		e.Log.Warn().Err(err).Msg("the system did not bound what connections receive")
--- a/internal/operator/command/cmd_serve.go
+++ b/internal/operator/command/cmd_serve.go
@@ -9,7 +9,6 @@
 	"runtime/debug"
 	"strconv"
 	"syscall"
-	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
@@ -29,9 +28,6 @@
 	// memoryLimitFraction times the process's memory limit is the soft memory limit of
 	// the Go runtime. docs/design/bodies.md lists what the process takes beside.
 	memoryLimitFraction = 0.38
-	// httpTimeout is the timeout for idle connections and for reading request headers
-	// on the listeners for lookups, readiness and metrics.
-	httpTimeout = 30 * time.Second
 )
 
 // cmdServe runs an instance on the platform, which provides its settings file.
@@ -91,15 +87,17 @@
 		addresses, lifetime := e.Lookup(l.Host, l.Region)
 		return platform.LookupResult{Addresses: addresses, Lifetime: lifetime}
 	})
-	listeners := []httpListener{{s.Ready, platform.ReadyHandler(e.Ready)}, {s.Lookup, lookupHandler}}
+	if err := e.ServeLookups(s.Lookup, lookupHandler); err != nil {
+		return errors.Wrap(err, "serve lookups")
+	}
+	if err := e.ServeChecks(s.Ready, platform.ReadyHandler(e.Ready)); err != nil {
+		return errors.Wrap(err, "serve readiness checks")
+	}
 	if c.MetricsPort > 0 {
 		mux := http.NewServeMux()
 		mux.Handle("GET /metrics", m)
-		listeners = append(listeners, httpListener{net.JoinHostPort(s.IP, strconv.Itoa(c.MetricsPort)), mux})
-	}
-	for _, listener := range listeners {
-		if err := listener.start(log); err != nil {
-			return err
+		if err := e.ServeChecks(net.JoinHostPort(s.IP, strconv.Itoa(c.MetricsPort)), mux); err != nil {
+			return errors.Wrap(err, "serve metrics")
 		}
 	}
 	ctx := notifyStop()
@@ -121,26 +119,6 @@
 	}
 }
 
-// httpListener is an address and the handler that serves it.
-type httpListener struct {
-	address string
-	handler http.Handler
-}
-
-func (h httpListener) start(log zerolog.Logger) error {
-	l, err := net.Listen("tcp4", h.address)
-	if err != nil {
-		return errors.Wrap(err, "listen")
-	}
-	server := &http.Server{Handler: h.handler, IdleTimeout: httpTimeout, ReadHeaderTimeout: httpTimeout}
-	go func() {
-		if err := server.Serve(l); err != nil {
-			log.Error().Err(err).Str("address", h.address).Msg("HTTP listener failed")
-		}
-	}()
-	return nil
-}
-
 // notifyStop returns a context that ends at the first signal to stop. Further ones are ignored for
 // the lifetime of the process: they would terminate it before it has stopped gracefully.
 func notifyStop() context.Context {
