Bound the connections of followers and the memory of replies to them

Callers saw: nothing yet, but whoever reaches the port for other instances ends a process: queries for all keys on connections that read nothing hold a copy of the store each, and connections had no bound.

Cause: follower.Serve encoded each reply for itself and kept it until its last byte was accepted, a piece within a second, with no end of the whole; it served as many connections as there are descriptors.

Change: follower.Server has at most 64 connections (an instance has some ten followers) and closes the one longest without a query for a new one. Replies of more than 32 KB, and the copies of keys that they are made of, take memory from a thirty-second of the process's, twice their size; others wait up to the second after which their peer gives up. A reply that is larger than that takes all. A reply ends after 20 s, when its peer gives up too.

--- a/internal/entry/edge/catchup_test.go
+++ b/internal/entry/edge/catchup_test.go
@@ -96,7 +96,7 @@
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		ginkgo.DeferCleanup(l.Close)
-		go func() { _ = follower.Serve(l, emptySource{}) }()
+		go func() { _ = (&follower.Server{Source: emptySource{}}).Serve(l) }()
 		address = l.Addr().String()
 		e = New(Settings{Name: "self", Domain: "a", Region: "north", Regions: map[string]string{"a": "north"}},
 			Dependencies{Store: silentStore{}, Timer: wall.Timer{}, Log: zerolog.Nop()})
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -41,7 +41,6 @@
 	"lacewingramp.example/lacewingramp/internal/limit/pool"
 	"lacewingramp.example/lacewingramp/internal/limit/retry"
 	"lacewingramp.example/lacewingramp/internal/limit/share"
-	"lacewingramp.example/lacewingramp/internal/peer/follower"
 	"lacewingramp.example/lacewingramp/internal/peer/heartbeat"
 	"lacewingramp.example/lacewingramp/internal/peer/rotation"
 	"lacewingramp.example/lacewingramp/internal/report/loglimit"
@@ -296,7 +295,7 @@
 	wg.Go(func() { e.follow(background) })
 	wg.Go(func() { e.register(background) })
 	wg.Go(func() { e.socket.Receive(e.handleDatagram, e.logBadDatagram) })
-	wg.Go(func() { e.logServeError(follower.Serve(peerListener, mirrorSource{e}), "serving peers") })
+	wg.Go(func() { e.logServeError(e.newFollowerServer().Serve(peerListener), "serving peers") })
 	wg.Go(func() { e.logServeError(e.server.Serve(callerListener), "serving callers") })
 	if relayListener != nil {
 		wg.Go(func() { e.logServeError(e.relayServer.Serve(relayListener), "serving relayed requests") })
--- a/internal/entry/edge/edge_callers.go
+++ b/internal/entry/edge/edge_callers.go
@@ -10,6 +10,7 @@
 	"lacewingramp.example/lacewingramp/internal/call/caller"
 	"lacewingramp.example/lacewingramp/internal/call/listener"
 	"lacewingramp.example/lacewingramp/internal/call/message"
+	"lacewingramp.example/lacewingramp/internal/peer/follower"
 )
 
 const (
@@ -34,6 +35,11 @@
 	// maxCheckConnections is the maximum number of connections for readiness checks, and for
 	// metrics.
 	maxCheckConnections = 32
+	// maxPeerConnections is the maximum number of connections on which other instances follow
+	// this one, and peerMemory the part of the memory that replies to them may take, one in
+	// peerMemory.
+	maxPeerConnections = 64
+	peerMemory         = 32
 	// Connections that wait to be accepted, at the port for callers and at the others.
 	callerBacklog = 256
 	otherBacklog  = 64
@@ -119,6 +125,10 @@
 	return nil
 }
 
+func (e *Edge) newFollowerServer() *follower.Server {
+	return &follower.Server{Source: mirrorSource{e}, MaxConnections: maxPeerConnections, ReplyMemory: e.Memory / peerMemory}
+}
+
 // checkBounds returns the bounds of requests that are not callers' requests to routes.
 func (e *Edge) checkBounds() lacewingramp.Bounds {
 	b := e.bounds()
--- a/internal/peer/follower/follower.go
+++ b/internal/peer/follower/follower.go
@@ -9,7 +9,8 @@
 //
 // # Usage
 //
-//	go follower.Serve(listener, source)
+//	server := &follower.Server{Source: source}
+//	go server.Serve(listener)
 //	feed := &follower.ChangeFeed{Address: "10.2.0.40:7460"}
 //	defer feed.Close()
 //	changes, position, err := feed.Changes(ctx, after, wait)
@@ -25,7 +26,6 @@
 	"github.com/go-faster/errors"
 
 	"lacewingramp.example/lacewingramp"
-	"lacewingramp.example/lacewingramp/internal/call/stream"
 )
 
 const (
@@ -33,8 +33,6 @@
 	// maxWait is the longest time for which the server holds a query, whatever wait
 	// time the query states.
 	maxWait = 10 * time.Second
-	// idleTimeout is how long the server keeps a connection open without a query.
-	idleTimeout = 30 * time.Second
 )
 
 // Source is an instance's copy of the store's keys. It must be safe for
@@ -89,94 +87,6 @@
 	}
 }
 
-// Serve answers queries until the listener is closed.
-func Serve(l net.Listener, s Source) error {
-	var p packer
-	for {
-		c, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			time.Sleep(time.Millisecond)
-			continue
-		}
-		go serveConn(c, s, &p)
-	}
-}
-
-// serveConn answers the queries of a connection. It closes the connection on any
-// error, after which the client opens a new one.
-func serveConn(c net.Conn, s Source, p *packer) {
-	defer func() { _ = c.Close() }()
-	reader := &stream.Reader{Reader: c, Max: maxQueryBytes}
-	decoder := cbor.NewDecoder(reader)
-	for {
-		_ = c.SetReadDeadline(time.Now().Add(idleTimeout))
-		reader.Next()
-		var q query
-		if err := decoder.Decode(&q); err != nil {
-			return
-		}
-		waitForChange(q, s)
-		r := newReply(q, s)
-		if q.Packed {
-			packReply(&r, q, p)
-		}
-		encoded, err := cbor.Marshal(r)
-		if err != nil || writePieces(c, encoded) != nil {
-			return
-		}
-	}
-}
-
-// waitForChange returns when there is a change to report, when the source no
-// longer has the changes that the query requests, or when the query's wait time
-// is over.
-func waitForChange(q query, s Source) {
-	if q.AllKeys || q.Wait <= 0 {
-		return
-	}
-	timeout := time.NewTimer(min(maxWait, q.Wait))
-	defer timeout.Stop()
-	for {
-		changed := s.Changed()
-		if changes, _, ok := s.Since(q.after()); !ok || len(changes) > 0 {
-			return
-		}
-		select {
-		case <-changed:
-		case <-timeout.C:
-			return
-		}
-	}
-}
-
-func newReply(q query, s Source) reply {
-	if !q.AllKeys {
-		changes, position, ok := s.Since(q.after())
-		r := reply{Revision: position.Revision, Epoch: position.Epoch, Compacted: !ok}
-		for _, c := range changes {
-			r.Changes = append(r.Changes, wireChange{Change: c})
-		}
-		return r
-	}
-	keyValues, position := s.Snapshot()
-	r := reply{Revision: position.Revision, Epoch: position.Epoch}
-	for _, i := range keyValues {
-		r.Changes = append(r.Changes, wireChange{Change: lacewingramp.Change{KeyValue: i}})
-	}
-	return r
-}
-
-// packReply packs the large values of a reply.
-func packReply(r *reply, q query, p *packer) {
-	if q.AllKeys {
-		p.retain(r.Changes)
-	}
-	p.packChanges(r.Changes)
-}
-
 // ChangeFeed reads the store's keys from the instance at Address. Its methods must not
 // be called concurrently, except for Close and Receiving.
 type ChangeFeed struct {
--- a/internal/peer/follower/follower_test.go
+++ b/internal/peer/follower/follower_test.go
@@ -59,7 +59,7 @@
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		ginkgo.DeferCleanup(l.Close)
-		go func() { _ = follower.Serve(l, &lockedMirror{mirror: m}) }()
+		go func() { _ = (&follower.Server{Source: &lockedMirror{mirror: m}}).Serve(l) }()
 		f := &follower.ChangeFeed{Address: l.Addr().String()}
 		ginkgo.DeferCleanup(f.Close)
 		return f
@@ -91,7 +91,7 @@
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		ginkgo.DeferCleanup(l.Close)
-		go func() { _ = follower.Serve(l, m) }()
+		go func() { _ = (&follower.Server{Source: m}).Serve(l) }()
 		f := &follower.ChangeFeed{Address: l.Addr().String()}
 		ginkgo.DeferCleanup(f.Close)
 		all, _, err := f.Changes(ctx, at(1), time.Millisecond)
--- a/internal/peer/follower/transfer.go
+++ b/internal/peer/follower/transfer.go
@@ -50,11 +50,17 @@
 	return l
 }
 
-// writePieces writes p. The peer has to accept each piece within progressTimeout.
+// writePieces writes p. The peer has to accept each piece within progressTimeout, and all of them
+// within maxTransferTime.
 func writePieces(c net.Conn, p []byte) error {
+	end := time.Now().Add(maxTransferTime)
 	for len(p) > 0 {
 		n := min(len(p), pieceBytes)
-		_ = c.SetWriteDeadline(time.Now().Add(progressTimeout))
+		deadline := time.Now().Add(progressTimeout)
+		if deadline.After(end) {
+			deadline = end
+		}
+		_ = c.SetWriteDeadline(deadline)
 		if _, err := c.Write(p[:n]); err != nil {
 			return errors.Wrap(err, "send a reply")
 		}
--- a/internal/peer/follower/transfer_test.go
+++ b/internal/peer/follower/transfer_test.go
@@ -72,7 +72,7 @@
 		_ = client.Close()
 		close(l.conns)
 	})
-	go func() { _ = Serve(l, s) }()
+	go func() { _ = (&Server{Source: s}).Serve(l) }()
 	return client
 }
 
@@ -101,7 +101,7 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	defer func() { _ = l.Close() }()
-	go func() { _ = Serve(l, fixedSource{}) }()
+	go func() { _ = (&Server{Source: fixedSource{}}).Serve(l) }()
 	c, err := net.Dial("tcp4", l.Addr().String())
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	defer func() { _ = c.Close() }()
