Keep nothing of unknown regions in the cache of lookups

Callers saw: nothing yet. A caller may name any region in a lookup, up to the size of a head, and an entry was kept for each until the next heartbeat period.

Cause: the cache's key is the list of regions, and its size had no bound. Change: no list is looked up for a region in which no instance can be; the result is the same, as before no instance was found there either.

--- a/internal/entry/edge/edge_lookup.go
+++ b/internal/entry/edge/edge_lookup.go
@@ -87,6 +87,9 @@
 // the instances that reach targets, or of those that are cut off from all of them. The
 // caller must hold e.mu.
 func (e *Edge) cachedAddresses(now time.Time, regions lacewingramp.NameList, cutOff bool) []string {
+	if len(regions) == 1 && !e.knowsRegion(regions[0]) {
+		return nil
+	}
 	ready := e.Ready()
 	if ready != e.lookupCache.ready || now.Sub(e.lookupCache.computedAt) >= heartbeat.Period {
 		e.lookupCache = lookupCache{computedAt: now, ready: ready, byRegions: make(map[string][]string)}
@@ -102,6 +105,19 @@
 	return found
 }
 
+// knowsRegion reports whether instances may be in a region. A caller may name any.
+func (e *Edge) knowsRegion(region string) bool {
+	if region == "" {
+		return true
+	}
+	for _, r := range e.Regions {
+		if r == region {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *Edge) selectAddresses(now time.Time, regions lacewingramp.NameList, ready, cutOff bool) []string {
 	serving := e.peers.Serving(now, cutOff)
 	rates := e.peers.RequestRates(now)
--- a/internal/entry/edge/lookup_test.go
+++ b/internal/entry/edge/lookup_test.go
@@ -100,3 +100,19 @@
 		})
 	}
 }
+
+// Guards against callers that fill the memory with regions that don't exist.
+func TestLookupKeepsNothingOfUnknownRegions(t *testing.T) {
+	e, _ := newEdgeWithPeers(5)
+	for i := range 1000 {
+		if got := len(lookupAddresses(e, fmt.Sprint("region-", i))); got != 6 {
+			t.Fatalf("lookup in an unknown region returns %d instances, want 6", got)
+		}
+	}
+	for region := range map[string]bool{"north": true, "south": true, "": true} {
+		lookupAddresses(e, region)
+	}
+	if got := len(e.lookupCache.byRegions); got > 10 {
+		t.Errorf("the cache holds %d lists of regions, want those of the deployment only", got)
+	}
+}
