Keep no more of forged heartbeats than a deployment has instances

Callers saw: nothing yet. Whoever reaches the port for other instances fills the memory with heartbeats of instances that don't exist: 8,000 with names of 40 KB took 285 MB of 96.

Cause: an instance becomes known by its heartbeat and is kept for two minutes, however many there are and however long its name; each datagram that could not be read was logged in a line of its own, with its texts.

Change: the texts of an endpoint have at most 256 bytes (a name is a part of a key of the store, which has 200), and beyond 4,096 known instances only the store makes another one known. An invalid value is shown up to 100 bytes, and bad datagrams are logged within the limit that other lines have.

--- a/digest.go
+++ b/digest.go
@@ -23,11 +23,21 @@
 	Relay string `json:"relay,omitempty" cbor:"8,keyasint,omitempty"`
 }
 
-// Check returns an error for an endpoint without a name, domain or peer address.
+// maxEndpointField is the maximum length of each text of an Endpoint, in bytes. A name is a part of
+// a key of the store, which is shorter.
+const maxEndpointField = 256
+
+// Check returns an error for an endpoint without a name, domain or peer address, or with a text that
+// is too long.
 func (e *Endpoint) Check() error {
 	if e.Name == "" || e.Domain == "" || e.Peer == "" {
 		return &InvalidValueError{Kind: "instance", Name: e.Name}
 	}
+	for _, text := range []string{e.Name, e.Domain, e.Peer, e.Caller, e.Relay} {
+		if len(text) > maxEndpointField {
+			return &InvalidValueError{Kind: "instance", Name: e.Name}
+		}
+	}
 	return nil
 }
 
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -337,7 +337,9 @@
 }
 
 func (e *Edge) logBadDatagram(err error) {
-	e.Log.Warn().Err(err).Msg("ignored a datagram that cannot be decoded")
+	if e.loglimit.Allow(e.Timer.Now(), "datagram") {
+		e.Log.Warn().Err(err).Msg("ignored a datagram that cannot be decoded")
+	}
 }
 
 // Ready reports whether the instance accepts requests: a table is in force and the
--- a/internal/peer/heartbeat/peers.go
+++ b/internal/peer/heartbeat/peers.go
@@ -29,6 +29,9 @@
 	// has stopped sending its own and that the store no longer lists: it may be
 	// cut off by the network, or restart at the same address.
 	silentRetention = 2 * time.Minute
+	// maxInstances is the number of known instances beyond which no heartbeat makes another
+	// one known: only the store does.
+	maxInstances = 4096
 )
 
 // Peers tracks the other instances of the fleet by their heartbeats and by the
@@ -164,12 +167,15 @@
 }
 
 // Record records a heartbeat and reports whether the instance did not count as
-// alive before it. It ignores this instance's own heartbeats and those from
-// before an instance's latest known start.
+// alive before it. It ignores this instance's own heartbeats, those from before an
+// instance's latest known start, and those of unknown instances beyond maxInstances.
 func (p *Peers) Record(now time.Time, h *lacewingramp.Heartbeat) (regained bool) {
 	if h.Endpoint.Name == p.Self {
 		return false
 	}
+	if _, known := p.all[h.Endpoint.Name]; !known && len(p.all) >= maxInstances {
+		return false
+	}
 	m := p.member(h.Endpoint.Name)
 	if h.Endpoint.StartMillis < m.StartMillis {
 		return false
--- a/refusal.go
+++ b/refusal.go
@@ -48,7 +48,7 @@
 	Name string
 }
 
-// Error formats the kind and the invalid value.
+// Error formats the kind and the invalid value, of which it shows a part if it is long.
 func (e *InvalidValueError) Error() string {
-	return fmt.Sprintf("invalid %s %q", e.Kind, e.Name)
+	return fmt.Sprintf("invalid %s %.100q", e.Kind, e.Name)
 }
