--- a/internal/proof/socket/socket.go
+++ b/internal/proof/socket/socket.go
@@ -8,65 +8,97 @@
 
 import (
 	"encoding/binary"
-	"fmt"
 	"net/netip"
-	"os"
-	"strconv"
-	"strings"
+	"syscall"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
 )
 
 // AnyPort stands for all ports of an address.
 const AnyPort = 0
 
-// Columns of the kernel's list of connections, and its state of listening sockets, which count
-// connections where others count bytes.
+// The kernel's interface sock_diag: the sizes of a request and of an answer, and the places of
+// their fields, in bytes.
 const (
-	listPath    = "/proc/net/tcp"
-	columnLocal = 1
-	columnState = 3
-	columnQueue = 4
-	stateListen = "0A"
+	diagByFamily = 20
+	requestBytes = 56
+	answerBytes  = 72
+
+	requestFamily   = 0
+	requestProtocol = 1
+	requestStates   = 4
+
+	answerPort  = 4
+	answerIP    = 8
+	answerQueue = 56
 )
 
+// queueStates are the states of connections that may hold received bytes, as bits: established,
+// and closed by one side, but not those that only wait for their end.
+const queueStates = 1<<1 | 1<<4 | 1<<5 | 1<<8 | 1<<9 | 1<<11
+
 // Queued returns the bytes in the receive queues of all connections at an IPv4 address and port,
 // also of those that have not been accepted.
 func Queued(ip string, port int) (int, error) {
-	raw, err := os.ReadFile(listPath)
-	if err != nil {
-		return 0, errors.Wrap(err, "read the kernel's connections")
+	local, err := netip.ParseAddr(ip)
+	if err != nil || !local.Is4() {
+		return 0, errors.Errorf("%q is no IPv4 address", ip)
 	}
-	prefix, err := localPrefix(ip, port)
+	s, err := unix.Socket(unix.AF_NETLINK, unix.SOCK_DGRAM|unix.SOCK_CLOEXEC, unix.NETLINK_SOCK_DIAG)
 	if err != nil {
-		return 0, err
+		return 0, errors.Wrap(err, "ask for connections")
+	}
+	defer func() { _ = unix.Close(s) }()
+	if err := unix.Sendto(s, request(), 0, &unix.SockaddrNetlink{Family: unix.AF_NETLINK}); err != nil {
+		return 0, errors.Wrap(err, "ask for connections")
 	}
-	sum := 0
-	for line := range strings.Lines(string(raw)) {
-		f := strings.Fields(line)
-		if len(f) <= columnQueue || !strings.HasPrefix(f[columnLocal], prefix) || f[columnState] == stateListen {
-			continue
+	return sum(s, local, port)
+}
+
+// request returns a request for all IPv4 connections in queueStates.
+func request() []byte {
+	b := make([]byte, unix.SizeofNlMsghdr+requestBytes)
+	binary.NativeEndian.PutUint32(b, uint32(len(b)))
+	binary.NativeEndian.PutUint16(b[4:], diagByFamily)
+	binary.NativeEndian.PutUint16(b[6:], unix.NLM_F_REQUEST|unix.NLM_F_DUMP)
+	body := b[unix.SizeofNlMsghdr:]
+	body[requestFamily], body[requestProtocol] = unix.AF_INET, unix.IPPROTO_TCP
+	binary.NativeEndian.PutUint32(body[requestStates:], queueStates)
+	return b
+}
+
+// sum reads the kernel's answers and adds the queues of the connections at an address.
+func sum(s int, local netip.Addr, port int) (total int, err error) {
+	buf := make([]byte, 64<<10)
+	for {
+		n, _, err := unix.Recvfrom(s, buf, 0)
+		if err != nil {
+			return 0, errors.Wrap(err, "read connections")
 		}
-		_, queue, _ := strings.Cut(f[columnQueue], ":")
-		n, err := strconv.ParseInt(queue, 16, 64)
+		messages, err := syscall.ParseNetlinkMessage(buf[:n])
 		if err != nil {
-			return 0, errors.Wrap(err, "decode a receive queue")
+			return 0, errors.Wrap(err, "decode connections")
+		}
+		for _, m := range messages {
+			switch m.Header.Type {
+			case unix.NLMSG_DONE:
+				return total, nil
+			case unix.NLMSG_ERROR:
+				return 0, errors.New("the kernel does not list its connections")
+			}
+			total += queueAt(m.Data, local, port)
 		}
-		sum += int(n)
 	}
-	return sum, nil
 }
 
-// localPrefix returns how the kernel writes an address, in the byte order of the machine.
-func localPrefix(ip string, port int) (string, error) {
-	a, err := netip.ParseAddr(ip)
-	if err != nil || !a.Is4() {
-		return "", errors.Errorf("%q is no IPv4 address", ip)
+// queueAt returns the queue of the connection that an answer describes, if it is at an address.
+func queueAt(answer []byte, local netip.Addr, port int) int {
+	if len(answer) < answerBytes || netip.AddrFrom4([4]byte(answer[answerIP:])) != local {
+		return 0
 	}
-	b := a.As4()
-	prefix := fmt.Sprintf("%08X:", binary.NativeEndian.Uint32(b[:]))
-	if port != AnyPort {
-		prefix += fmt.Sprintf("%04X", port)
+	if port != AnyPort && int(binary.BigEndian.Uint16(answer[answerPort:])) != port {
+		return 0
 	}
-	return prefix, nil
+	return int(binary.NativeEndian.Uint32(answer[answerQueue:]))
 }
