Hold no more heads and small bodies while garbage has not been collected

Refused heads are replaced by the next ones at once, some hundred MB a second, and the runtime's limit is soft: it starts collections early and waits for none.

The soft limit is 0.34 (0.38), so that an ordinary collection is over before. A connection that is closed at once takes no buffer.

Test: with a maximum of one byte a head is refused with 503, without one that matters it is served.

--- a/internal/call/caller/caller.go
+++ b/internal/call/caller/caller.go
@@ -97,6 +97,7 @@
 			_ = accepted.Close()
 			continue
 		}
+		c.reader = c.newReader()
 		go c.serve()
 	}
 }
--- a/internal/call/caller/limit.go
+++ b/internal/call/caller/limit.go
@@ -13,13 +13,16 @@
 const minIdleTime = 500 * time.Millisecond
 
 func newConnection(s *Server, conn net.Conn) *connection {
-	c := &connection{server: s, conn: conn, openedAt: time.Now()}
-	c.reader = message.NewReader(activityReader{c})
-	c.reader.Requests = s.Requests
+	return &connection{server: s, conn: conn, openedAt: time.Now()}
+}
+
+func (c *connection) newReader() *message.Reader {
+	r := message.NewReader(activityReader{c})
+	r.Requests = c.server.Requests
 	// The deadline is set anew for each request.
-	c.reader.Cut = func() { _ = conn.SetReadDeadline(time.Now()) }
-	c.reader.Widen = c.widen
-	return c
+	r.Cut = func() { _ = c.conn.SetReadDeadline(time.Now()) }
+	r.Widen = c.widen
+	return r
 }
 
 // activityReader reads from a connection and records when bytes have arrived.
--- a/internal/call/message/request_body.go
+++ b/internal/call/message/request_body.go
@@ -97,7 +97,7 @@
 }
 
 func (b *requestBody) growOnHeap(size int) error {
-	if err := b.memory.budget.acquire(b.memory, size-cap(b.buf)); err != nil {
+	if err := b.memory.budget.acquireOnHeap(b.memory, size-cap(b.buf)); err != nil {
 		return err
 	}
 	larger := make([]byte, len(b.buf), size)
--- a/internal/call/message/request_budget.go
+++ b/internal/call/message/request_budget.go
@@ -11,8 +11,13 @@
 // announced. A part is reserved for small requests. While memory is short, a request that needs
 // some cuts the one that has been longest without progress. It is safe for concurrent use.
 type RequestBudget struct {
-	mu   sync.Mutex
-	free int
+	// MaxHeap is the maximum memory of the Go runtime, in bytes, beyond which nothing more is
+	// held on its heap, 0 for no maximum. It must be set before the first use.
+	MaxHeap int64
+
+	gauge heapGauge
+	mu    sync.Mutex
+	free  int
 	// freeHeads is the part of free that heads may take.
 	freeHeads int
 	// reserve is the part of free that only small requests may take, and headReserve the part
@@ -84,6 +89,12 @@
 	return r.await(m, n, m.small, r.take, func(o *requestMemory) int { return o.taken })
 }
 
+// acquireOnHeap takes n bytes for a part of a body that is held on the heap. It may wait for them.
+func (r *RequestBudget) acquireOnHeap(m *requestMemory, n int) error {
+	take := func(m *requestMemory, n int) bool { return !r.gauge.over(r.MaxHeap) && r.take(m, n) }
+	return r.await(m, n, m.small, take, func(o *requestMemory) int { return o.taken })
+}
+
 // acquireHead takes n bytes for the head of a request that is being read. It may wait for them.
 func (r *RequestBudget) acquireHead(m *requestMemory, n int) error {
 	return r.await(m, n, m.smallHead, r.takeHead, func(o *requestMemory) int { return o.head })
@@ -132,6 +143,9 @@
 }
 
 func (r *RequestBudget) takeHead(m *requestMemory, n int) bool {
+	if r.gauge.over(r.MaxHeap) {
+		return false
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	left := r.freeHeads - n
--- a/internal/call/message/request_head_test.go
+++ b/internal/call/message/request_head_test.go
@@ -161,4 +161,20 @@
 		gomega.Expect(kept).NotTo(gomega.BeEmpty())
 		gomega.Eventually(ended).Should(gomega.Receive(gomega.HaveOccurred()))
 	})
+
+	// Guards against garbage that fills the memory while its collection takes long: what was
+	// released counts until then.
+	ginkgo.It("refuses heads and bodies while the runtime holds too much, and serves again", func() {
+		budget := message.NewRequestBudget(memory)
+		budget.MaxHeap = 1
+		for _, text := range []string{start + "\r\nx", "GET / HTTP/1.1\r\nHost: h\r\n\r\n"} {
+			_, err := read(budget, strings.NewReader(text))
+			expectUnavailable(err)
+		}
+		budget = message.NewRequestBudget(memory)
+		budget.MaxHeap = 1 << 40
+		r, err := read(budget, strings.NewReader(start+"\r\nx"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		r.Release()
+	})
 })
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -82,6 +82,9 @@
 	Bandwidth float64
 	// Memory is the memory limit of the process in bytes, 0 if unknown.
 	Memory int64
+	// MaxHeap is the memory of the Go runtime in bytes beyond which requests are refused, 0
+	// for no maximum.
+	MaxHeap int64
 	// MaxDescriptors is the maximum number of open file descriptors, 0 if unknown.
 	MaxDescriptors int
 	// Usage is set if the instances report usage, nil if not.
--- a/internal/entry/edge/edge_callers.go
+++ b/internal/entry/edge/edge_callers.go
@@ -70,6 +70,7 @@
 func (e *Edge) bound(s *caller.Server) {
 	if e.Memory > 0 && e.requestBudget == nil {
 		e.requestBudget = message.NewRequestBudget(e.Memory)
+		e.requestBudget.MaxHeap = e.MaxHeap
 	}
 	s.Requests = e.requestBudget
 	s.OnMalformed = e.logMalformed
--- a/internal/operator/command/cmd_serve.go
+++ b/internal/operator/command/cmd_serve.go
@@ -27,7 +27,10 @@
 	logBufferLines = 4096
 	// memoryLimitFraction times the process's memory limit is the soft memory limit of
 	// the Go runtime. docs/design/bodies.md lists what the process takes beside.
-	memoryLimitFraction = 0.38
+	memoryLimitFraction = 0.34
+	// maxHeapFraction times the memory limit of the process is the memory of the Go runtime beyond which requests are
+	// refused: garbage has not been collected in time.
+	maxHeapFraction = 0.40
 )
 
 // cmdServe runs an instance on the platform, which provides its settings file.
@@ -76,7 +79,7 @@
 	e := edge.New(edge.Settings{
 		Name: s.Instance, Domain: s.Domain, Region: s.Region, Regions: s.Regions,
 		CallerAddress: s.CallerAddress, Peer: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), Relay: relay,
-		Bootstrap: s.Bootstrap, StopTimeout: s.StopTimeout, MaxLookupTTL: s.MaxLookupTTL, CPUs: s.CPUs, Bandwidth: s.Bandwidth, Memory: s.Memory, MaxDescriptors: s.MaxDescriptors, MaxCanaryFraction: s.MaxCanaryFraction,
+		Bootstrap: s.Bootstrap, StopTimeout: s.StopTimeout, MaxLookupTTL: s.MaxLookupTTL, CPUs: s.CPUs, Bandwidth: s.Bandwidth, Memory: s.Memory, MaxHeap: int64(float64(s.Memory) * maxHeapFraction), MaxDescriptors: s.MaxDescriptors, MaxCanaryFraction: s.MaxCanaryFraction,
 		RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryWindow: s.RetryWindow,
 		Usage: usageSettings,
 	}, edge.Dependencies{
