Log each second in which regions requests run, and why

The logs name only late, refused and failed requests, so they do not tell where a region's other requests ran, nor whether one ran elsewhere because its object ranks there, was moved there, or may run nowhere else.

Change: the choice of a target says its region and one of six reasons. An instance with requests writes one line a second, whatever the load, and counts the same in lacewingramp_sent_requests_total and lacewingramp_running_requests.

--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -123,6 +123,11 @@
 	Request(status int, cause lacewingramp.Cause, took time.Duration)
 	// Attempt records one attempt to run a request on a target and its duration.
 	Attempt(verdict lacewingramp.Verdict, took time.Duration)
+	// Sent counts a request that is sent to a target in a region, and why that one was
+	// chosen.
+	Sent(region, reason string)
+	// Running records the number of this instance's requests at the targets of a region.
+	Running(region string, requests int)
 	// ConnectionOpened counts a new connection to a target.
 	ConnectionOpened()
 	// Relayed counts a request that was relayed to a peer.
@@ -195,8 +200,10 @@
 	self   lacewingramp.Endpoint
 	mirror mirror.Mirror
 	placer placement.Placer
-	quota  share.RateLimiter
-	pool   pool.Keeper
+	// regions counts the requests sent to each region.
+	regions regionCounts
+	quota   share.RateLimiter
+	pool    pool.Keeper
 	// tokenReplies maps the IDs of token requests to the channels on which callers'
 	// requests wait for the reply, and poolBackoff maps customers to the time until
 	// which no token is requested from their pool.
--- a/internal/entry/edge/edge_heartbeat.go
+++ b/internal/entry/edge/edge_heartbeat.go
@@ -44,6 +44,7 @@
 	e.settleReverted(now)
 	e.tickRollouts(ctx, now)
 	e.wakeWaiting(now)
+	e.logRegions(now)
 	ownRegion, otherRegions := e.peers.NextRound()
 	regional := e.newHeartbeat(now)
 	interRegion := *regional
--- a/internal/entry/edge/edge_request.go
+++ b/internal/entry/edge/edge_request.go
@@ -129,6 +129,8 @@
 		return placement.Choice{}, false
 	}
 	e.recordAdmitted(now, j, choice)
+	e.regions.begin(choice)
+	e.Meter.Sent(choice.Region, choice.Reason.String())
 	e.rollouts.RecordSent(now, j.service, choice.Target.Version)
 	j.tried = append(j.tried, choice.Target.Name)
 	j.rank = choice.RankingPosition
@@ -215,6 +217,7 @@
 		RetryAfter: r.ResponseHeaders.RetryAfter,
 		Route:      j.route.Name, RankingPosition: a.choice.RankingPosition, Load: a.choice.Load,
 	})
+	e.regions.end(a.choice.Region)
 	e.recordRoom(now, j, a)
 	e.logPause(now, j, target, r.ResponseHeaders)
 	e.logLimit(j.headers.ID, target.Name, limit)
--- a/internal/report/meter/meter.go
+++ b/internal/report/meter/meter.go
@@ -53,6 +53,16 @@
 	m.set.GetOrCreateHistogram(`lacewingramp_attempt_seconds{verdict="` + verdict.String() + `"}`).Update(took.Seconds())
 }
 
+// Sent counts a request that is sent to a target in a region, and why that one was chosen.
+func (m *Meter) Sent(region, reason string) {
+	m.set.GetOrCreateCounter(`lacewingramp_sent_requests_total{region="` + region + `",reason="` + reason + `"}`).Inc()
+}
+
+// Running records the number of this instance's requests at the targets of a region.
+func (m *Meter) Running(region string, requests int) {
+	m.set.GetOrCreateGauge(`lacewingramp_running_requests{region="`+region+`"}`, nil).Set(float64(requests))
+}
+
 // ConnectionOpened counts a new connection to a target.
 func (m *Meter) ConnectionOpened() {
 	m.connections.Inc()
--- a/internal/report/meter/meter_test.go
+++ b/internal/report/meter/meter_test.go
@@ -18,6 +18,8 @@
 		m := meter.New()
 		m.Request(200, lacewingramp.CauseNone, time.Second)
 		m.Attempt(lacewingramp.Ran, time.Second)
+		m.Sent("north", "preferred")
+		m.Running("north", 1)
 		m.StoreCall("/watch", time.Second, nil)
 		m.TokenReply(true)
 		m.TargetToken(lacewingramp.TokenGranted)
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -99,6 +99,9 @@
 	// deadline. Both are 0 if not known.
 	Expected time.Duration
 	RoomIn   time.Duration
+	// Region is the target's region, and Reason why it was chosen.
+	Region string
+	Reason Reason
 }
 
 // Report describes the outcome of a request on a target. TargetLoad is the load that
@@ -321,10 +324,13 @@
 		return p.noneUsable(now, &q)
 	}
 	all = p.candidates(now, all)
-	p.applyMoves(now, &q, all)
+	moved := p.applyMoves(now, &q, all)
 	if c, ok := p.firstFitting(now, &q, all, func(i int, t *target) bool {
 		return t.fits(now, maxUtilizationByRank[min(i, len(maxUtilizationByRank)-1)]) && !t.failing(now) && !p.slow(now, t)
 	}); ok {
+		if moved && c.Reason == Preferred {
+			c.Reason = Moved
+		}
 		return c
 	}
 	sort.SliceStable(all, func(i, j int) bool { return all[i].utilization(now) < all[j].utilization(now) })
--- a/internal/steer/placement/placement_completion.go
+++ b/internal/steer/placement/placement_completion.go
@@ -210,10 +210,11 @@
 
 // takeBest picks the best candidate that has a token for the request if its rate is limited.
 func (p *Placer) takeBest(w *selection, q *Query) Choice {
-	wantedRegion := completion.AnyRegion
+	wantedRegion, unbounded := completion.AnyRegion, completion.AnyRegion
 	p.advance(w, q, wantedRegion)
 	if best, ok := w.search.Best(completion.AnyRegion); ok && len(q.Tried) == 0 {
-		wantedRegion = w.service.movement.Want(w.now, best.Region)
+		unbounded = best.Region
+		wantedRegion = w.service.movement.Want(w.now, unbounded)
 	}
 	for {
 		best, ok := p.bestOf(w, q, wantedRegion)
@@ -227,6 +228,9 @@
 			continue
 		}
 		c.Target, c.StartMillis, c.Expected = t.chosen, t.StartMillis, best.Expected
+		if best.Region == wantedRegion && wantedRegion != unbounded && c.Reason != Bound {
+			c.Reason = Held
+		}
 		if !c.NeedsProbe && !c.NeedsToken {
 			w.service.movement.Sent(best.Region)
 			if w.ranking != nil {
--- a/internal/steer/placement/placement_fitting.go
+++ b/internal/steer/placement/placement_fitting.go
@@ -21,7 +21,7 @@
 // take counts a request as in flight at a target, if the target has a token for it or its
 // rate is not limited. It returns false if not, and a choice without the target otherwise.
 func (p *Placer) take(now time.Time, q *Query, position int, t *target) (Choice, bool) {
-	choice := Choice{RankingPosition: position}
+	choice := Choice{RankingPosition: position, Region: t.region, Reason: q.reasonOf(position)}
 	if p.mayBeCold(now, t) && !t.probeFailed {
 		choice.NeedsProbe = true
 		return choice, true
--- a/internal/steer/placement/placement_move.go
+++ b/internal/steer/placement/placement_move.go
@@ -34,19 +34,19 @@
 // applyMoves puts an object's second target first if the object has been moved
 // there, or is moved now because the first target has been full for a while and the
 // second has not. The object is not moved back later, as this would cost cache misses
-// again.
-func (p *Placer) applyMoves(now time.Time, q *Query, all []ranked) {
+// again. It reports whether the second target is first now.
+func (p *Placer) applyMoves(now time.Time, q *Query, all []ranked) bool {
 	if q.Object == "" || len(all) < targetsPerObject {
-		return
+		return false
 	}
 	first, second := all[0], all[1]
 	key := objectKey{service: q.Service, object: q.Object}
 	if preferred, ok := p.moves[key]; ok && preferred == second.Name {
 		all[0], all[1] = second, first
-		return
+		return true
 	}
 	if !first.mayMoveObject(now, second.target) {
-		return
+		return false
 	}
 	if p.moves == nil || len(p.moves) >= maxMoves {
 		p.moves = make(map[objectKey]string)
@@ -54,6 +54,7 @@
 	p.moves[key] = second.Name
 	first.movedAt = now
 	all[0], all[1] = second, first
+	return true
 }
 
 // mayMoveObject reports whether an object of t should move to another target.
