Show requests that arrive after callers have stopped, in a failing test

The emulator counted the regions of requests by the time at which callers had sent them, so it was blind to what is under way when they stop. It now also counts arrivals at targets, as the users do, also after the load.

New test: three regions, a part of the requests bound to the one with a tenth of the targets, callers stop.

--- a/internal/proof/emulator/emulator.go
+++ b/internal/proof/emulator/emulator.go
@@ -60,6 +60,9 @@
 	// shifts holds, for each window and region of callers, the number of requests that each
 	// region answered.
 	shifts [][][]int
+	// arrivals holds the same for the requests that arrived at targets, by the window of their
+	// arrival.
+	arrivals [][][]int
 }
 
 // target is a simulated target. useCount is the number of requests that it has begun
@@ -280,6 +283,7 @@
 
 // receive processes, queues or refuses a request that has reached its target.
 func (sim *simulation) receive(r *request, t *target) {
+	sim.recordArrival(r, t)
 	switch {
 	case r.ended:
 	case t.removed:
--- a/internal/proof/emulator/emulator_kinds.go
+++ b/internal/proof/emulator/emulator_kinds.go
@@ -41,13 +41,9 @@
 
 // scheduleKinds schedules the first request of each kind from each region.
 func (sim *simulation) scheduleKinds() {
-	sim.shifts = make([][][]int, len(sim.windowCounts))
-	for w := range sim.shifts {
-		sim.shifts[w] = make([][]int, len(sim.Targets))
-		for r := range sim.Targets {
-			sim.shifts[w][r] = make([]int, len(sim.Targets))
-		}
-	}
+	sim.shifts = newRegionCounts(len(sim.windowCounts), len(sim.Targets))
+	// Requests arrive at targets for up to their timeout after callers have sent the last one.
+	sim.arrivals = newRegionCounts(len(sim.windowCounts)+int(maxTimeout/WindowLength), len(sim.Targets))
 	for region := range sim.Targets {
 		for i := range sim.Kinds {
 			sim.scheduleKind(region, &sim.Kinds[i])
@@ -60,6 +56,20 @@
 	}
 }
 
+// maxTimeout is the longest timeout of a kind.
+const maxTimeout = 10 * time.Second
+
+func newRegionCounts(windows, regions int) [][][]int {
+	counts := make([][][]int, windows)
+	for w := range counts {
+		counts[w] = make([][]int, regions)
+		for r := range counts[w] {
+			counts[w][r] = make([]int, regions)
+		}
+	}
+	return counts
+}
+
 // scheduleKind schedules candidates for arrivals at the highest rate of a kind. Each
 // becomes a request with the probability that makes the current rate.
 func (sim *simulation) scheduleKind(region int, k *Kind) {
@@ -71,7 +81,7 @@
 	sim.after(interval, func() {
 		if sim.random.Float64()*highest < sim.rateOf(region, k) {
 			r := &request{
-				object: sim.drawObject(k), region: region, boundTo: unbound, kind: k,
+				object: sim.drawObject(k), region: region, boundTo: sim.drawBound(), kind: k,
 				instance: region*sim.InstancesPerRegion + sim.random.IntN(sim.InstancesPerRegion), sentAt: sim.now,
 			}
 			sim.count(r, &sim.result.Requests)
@@ -170,6 +180,13 @@
 	}
 }
 
+// recordArrival records the region in which a request of a kind arrives at a target.
+func (sim *simulation) recordArrival(r *request, t *target) {
+	if r.kind != nil {
+		sim.arrivals[int(sim.now.Sub(startTime)/WindowLength)][r.region][t.region]++
+	}
+}
+
 // summarizeRegions sets Result.MaxRegionShift.
 func (sim *simulation) summarizeRegions() {
 	for w := 1 + int(sim.CountFrom/WindowLength); w < len(sim.shifts); w++ {
@@ -186,6 +203,7 @@
 			sim.result.MaxRegionShift = max(sim.result.MaxRegionShift, shift)
 		}
 	}
+	sim.result.Arrivals = sim.arrivals
 }
 
 func sum(list []int) (total int) {
--- a/internal/proof/emulator/emulator_types.go
+++ b/internal/proof/emulator/emulator_types.go
@@ -89,6 +89,10 @@
 	// MaxRegionShift is the largest change, from one window to the next, of the fraction of a
 	// region's answered requests that each region answered, for scenarios with several kinds.
 	MaxRegionShift float64
+	// Arrivals holds, for each window and region of callers, how many requests arrived at the
+	// targets of each region, for scenarios with several kinds. The last windows are those after
+	// callers have sent the last request.
+	Arrivals [][][]int
 }
 
 // WindowLength is the length of the windows of Result.InTimeRatios.
--- a/internal/proof/emulator/scenario_hard.go
+++ b/internal/proof/emulator/scenario_hard.go
@@ -36,6 +36,15 @@
 	return s
 }
 
+// BoundScenario returns a load of queries of which a part is bound to the region with a tenth of
+// the targets, which cannot run all of them, until callers stop.
+func BoundScenario() Scenario {
+	s := desk("desk-bound", "queries that are bound to the region with the fewest targets", 1)
+	s.BoundFractions = []float64{0.15, 0, 0}
+	s.LoadDuration = 30 * time.Second
+	return s
+}
+
 // HardScenarios returns the loads under which the choice by completion time is compared
 // with the former one. They have several kinds of requests, and targets report how long
 // work takes.
