Move objects under load within their region only

Cause: an object whose first target looks full to one instance is moved to its second target, whatever its region, and never back.

Change: an object is moved only if both targets are in one region. Requests that find their target full still go to the second one, one by one.

The test of moves had its two targets in two regions, by chance; they are in one now, and the same steps with two regions move nothing (failed before: one moved object).

--- a/internal/steer/placement/placement_move.go
+++ b/internal/steer/placement/placement_move.go
@@ -33,8 +33,8 @@
 
 // applyMoves puts an object's second target first if the object has been moved
 // there, or is moved now because the first target has been full for a while and the
-// second has not. The object is not moved back later, as this would cost cache misses
-// again. It reports whether the second target is first now.
+// second, of the same region, has not. The object is not moved back later, as this would
+// cost cache misses again. It reports whether the second target is first now.
 func (p *Placer) applyMoves(now time.Time, q *Query, all []ranked) bool {
 	if q.Object == "" || len(all) < targetsPerObject {
 		return false
@@ -59,7 +59,7 @@
 
 // mayMoveObject reports whether an object of t should move to another target.
 func (t *target) mayMoveObject(now time.Time, other *target) bool {
-	return t.recentUtilization(now) > moveThreshold && other.recentUtilization(now) < maxUtilizationRatio*t.recentUtilization(now) &&
+	return t.region == other.region && t.recentUtilization(now) > moveThreshold && other.recentUtilization(now) < maxUtilizationRatio*t.recentUtilization(now) &&
 		now.Sub(t.movedAt) >= minMoveInterval
 }
 
--- a/internal/steer/placement/placement_test.go
+++ b/internal/steer/placement/placement_test.go
@@ -346,32 +346,50 @@
 		return c.Target.Name
 	}
 
-	ginkgo.It("move one at a time from a full target to one that is not, and stay there", func() {
-		p := newPlacer("one", 2, 8)
-		var objects []string
+	// objectsOn returns objects whose first target is t0.
+	objectsOn := func(p *placement.Placer) (objects []string) {
 		for i := range 40 {
 			if o := fmt.Sprint(i); targetOf(p, start, o) == "t0" {
 				objects = append(objects, o)
 			}
 		}
+		return objects
+	}
+	// movedFrom returns the objects that a Placer moves from the full target t0 to t1.
+	movedFrom := func(p *placement.Placer, objects []string) map[string]bool {
 		reportLoad(p, start, "t0", 8, 0)
 		reportLoad(p, start, "t1", 2, 0)
-		now := start.Add(sustained)
 		moved := make(map[string]bool)
 		for range 3 {
 			for _, o := range objects {
-				if targetOf(p, now, o) == "t1" {
+				if targetOf(p, start.Add(sustained), o) == "t1" {
 					moved[o] = true
 				}
 			}
 		}
+		return moved
+	}
+
+	ginkgo.It("move one at a time from a full target to one that is not, and stay there", func() {
+		p := newPlacer("one", 0, 8)
+		for i := range 2 {
+			p.Update(start, registration(i, "a", 8))
+		}
+		moved := movedFrom(p, objectsOn(p))
 		gomega.Expect(moved).To(gomega.HaveLen(1))
+		now := start.Add(sustained)
 		reportLoad(p, now, "t0", 1, 0)
 		for o := range moved {
 			gomega.Expect(targetOf(p, now.Add(sustained), o)).To(gomega.Equal("t1"))
 		}
 	})
 
+	// Guards against a region whose objects run further and further away, as none returns.
+	ginkgo.It("do not move to another region", func() {
+		p := newPlacer("one", 2, 8)
+		gomega.Expect(movedFrom(p, objectsOn(p))).To(gomega.BeEmpty())
+	})
+
 	ginkgo.It("are not moved when all targets are full", func() {
 		p := newPlacer("one", 2, 8)
 		before := targetOf(p, start, "17")
