Share the load of targets for all services that report it

Cause: each of 69 instances hears from a target once in seconds and judges it by that. It expected 1.1 requests a slot where 3.3 were, so the maxima of 2.0 and 1.5 did not hold.

Change: reports are passed on and used for all services whose targets report their load. Nothing else of the load-aware choice applies to these. Former builds ignore such reports.

--- a/internal/steer/placement/placement_capacity.go
+++ b/internal/steer/placement/placement_capacity.go
@@ -7,7 +7,7 @@
 )
 
 // An instance of a large deployment hears from a target only once in seconds. Instances therefore
-// pass on what targets of load-aware services have reported to them, in heartbeats. Reports that an
+// pass on what targets have reported to them, in heartbeats. Reports that an
 // instance has from its peers are not passed on.
 
 const (
@@ -103,9 +103,6 @@
 		return
 	}
 	p.recordWorkReport(t, load)
-	if !p.LoadAware(t.Service) {
-		return
-	}
 	l := *load
 	if l.Slots == 0 {
 		l.Slots = t.Slots
@@ -130,7 +127,7 @@
 	s := &p.sharing
 	for i := s.count; i > max(0, s.count-ownReports) && region.Len() < number; i-- {
 		r := &s.own[i%ownReports]
-		if r.target == nil || r.number != r.target.ownReport || !p.LoadAware(r.target.Service) || now.Sub(r.sentAt) > maxSharedAge {
+		if r.target == nil || r.number != r.target.ownReport || now.Sub(r.sentAt) > maxSharedAge {
 			continue
 		}
 		e := lacewingramp.SharedLoad{
@@ -162,9 +159,7 @@
 		running := min(e.Requests, max(1, t.Slots))
 		load := lacewingramp.TargetLoad{Running: running, Waiting: e.Requests - running, Slots: t.Slots, WorkPercent: e.WorkPercent}
 		p.recordWorkReport(t, &load)
-		if p.LoadAware(t.Service) {
-			t.capacity.Report(now, e.Age+delay, load)
-		}
+		t.capacity.Report(now, e.Age+delay, load)
 	}
 }
 
--- a/internal/steer/placement/placement_target.go
+++ b/internal/steer/placement/placement_target.go
@@ -95,9 +95,12 @@
 }
 
 // estimatedRequests estimates the number of requests at a target from all
-// instances.
+// instances, from the reports that any of them has had.
 func (t *target) estimatedRequests(now time.Time) float64 {
 	own := float64(t.inflight)
+	if age, known := t.capacity.ReportAge(now); known && age <= maxLoadAge {
+		return max(own, t.capacity.Requests(now))
+	}
 	age := now.Sub(t.loadAt)
 	if t.loadAt.IsZero() || age > maxLoadAge {
 		return own
