Keep each object of bound requests at one target while its region is full

Cause: 800 objects of one service, each at two of 12 targets that remember 28 each. The choice by completion time keeps one for bound customers; the other choice did not.

Change: a request that some regions only may serve goes to the second target of its object only if that has a free slot.

Test: a bound request that finds its target full doesn't go to a second one without a free slot (failed before), and does go to one that has a free slot.

--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -323,7 +323,7 @@
 	if len(all) == 0 {
 		return p.noneUsable(now, &q)
 	}
-	all = p.candidates(now, all)
+	all = p.candidates(now, &q, all)
 	moved := p.applyMoves(now, &q, all)
 	if c, ok := p.firstFitting(now, &q, all, func(i int, t *target) bool {
 		return t.fits(now, maxUtilizationByRank[min(i, len(maxUtilizationByRank)-1)]) && !t.failing(now) && !p.slow(now, t)
--- a/internal/steer/placement/placement_completion.go
+++ b/internal/steer/placement/placement_completion.go
@@ -97,7 +97,7 @@
 	for i := range min(len(s.regions), len(w.delays)) {
 		w.delays[i] = w.delay(p.HomeRegion, s.regions[i])
 	}
-	if len(q.RouteRegions)+len(q.CustomerRegions) > 0 {
+	if q.bound() {
 		// The targets of few regions have to be warm for all objects of the customer.
 		w.maxWarm = 1
 	}
--- a/internal/steer/placement/placement_order.go
+++ b/internal/steer/placement/placement_order.go
@@ -117,16 +117,21 @@
 // candidates returns the targets that may serve an object: the first warm ones without a
 // limit, and those ranked above them that are cold, name a limit or have failed a probe.
 // Targets further down have not handled the object lately, and would evict another object
-// from their cache for it.
-func (p *Placer) candidates(now time.Time, all []ranked) []ranked {
+// from their cache for it. The targets of few regions have to be warm for all objects of
+// a request that is bound to them, so it goes to the second target only if that has a free slot.
+func (p *Placer) candidates(now time.Time, q *Query, all []ranked) []ranked {
 	warm := 0
 	for i, t := range all {
 		if t.cold(now) || p.slow(now, t.target) || t.limit > 0 || (t.probeFailed && p.mayBeCold(now, t.target)) {
 			continue
 		}
-		if warm++; warm == targetsPerObject {
-			return all[:i+1]
+		if warm++; warm < targetsPerObject {
+			continue
+		}
+		if q.bound() && t.excess(now) > 0 {
+			return all[:i]
 		}
+		return all[:i+1]
 	}
 	return all
 }
--- a/internal/steer/placement/reason.go
+++ b/internal/steer/placement/reason.go
@@ -25,10 +25,15 @@
 	switch {
 	case len(q.Tried) > 0:
 		return Repeated
-	case len(q.RouteRegions)+len(q.CustomerRegions) > 0:
+	case q.bound():
 		return Bound
 	case position > 0:
 		return Later
 	}
 	return Preferred
 }
+
+// bound reports whether only some regions may serve the request.
+func (q *Query) bound() bool {
+	return len(q.RouteRegions)+len(q.CustomerRegions) > 0
+}
--- a/internal/steer/placement/reserve_test.go
+++ b/internal/steer/placement/reserve_test.go
@@ -115,3 +115,40 @@
 		gomega.Expect(fractionAtHome(start, p, query(""))).To(gomega.BeNumerically("<", 0.02))
 	})
 })
+
+// Guards against a full region that is cold for its bound customers: each of their objects was at
+// two targets, which could remember half of them.
+var _ = ginkgo.Describe("a request that is bound to a region", func() {
+	const slots = 9
+	bound := query("17")
+	bound.CustomerRegions = lacewingramp.NameList{"south"}
+	// load has all targets report a number of requests, but that of the object, which is full.
+	load := func(p *placement.Placer, running int) (first string) {
+		c := p.Choose(start, bound)
+		p.Cancel(c.Target.Name)
+		for i := range 4 {
+			r := placement.Report{Target: fmt.Sprint("t", i), TargetLoad: &lacewingramp.TargetLoad{Running: running, Slots: slots}}
+			if r.Target == c.Target.Name {
+				r.TargetLoad.Running, r.TargetLoad.Waiting = slots, slots+1
+			}
+			p.Done(start, r)
+		}
+		return c.Target.Name
+	}
+
+	ginkgo.It("does not evict others' objects from a second target without a free slot", func() {
+		p := newUnevenPlacer("x", 0, 4)
+		load(p, slots)
+		c := p.Choose(start, bound)
+		gomega.Expect(c.Target).To(gomega.BeNil())
+		gomega.Expect(c.Full).To(gomega.BeTrue())
+	})
+
+	ginkgo.It("goes to a second target with a free slot", func() {
+		p := newUnevenPlacer("x", 0, 4)
+		first := load(p, slots-2)
+		c := p.Choose(start, bound)
+		gomega.Expect(c.Target).NotTo(gomega.BeNil())
+		gomega.Expect(c.Target.Name).NotTo(gomega.Equal(first))
+	})
+})
