Tell callers of a full region to return sooner

Cause: some 160 callers a second are refused in ar-cuyo at 30 s. Of those who are away for 100 ms on the average, 10 arrive in uy-sur after the end. Several callers compete for each room, so who returns later has no better chance.

Change: callers return in a tenth of that time, 20 ms at the least.

--- a/internal/steer/placement/placement_return.go
+++ b/internal/steer/placement/placement_return.go
@@ -3,10 +3,13 @@
 import "time"
 
 const (
-	// Callers that found all targets full return when room is expected, spread by the fraction
-	// returnSpread up and down, so that they do not return all at once.
+	// Callers that found all targets full return in the fraction roomFraction of the time until
+	// room is expected: several of them compete for it, so who returns later has no better chance.
+	// The delays are spread by the fraction returnSpread up and down, so that callers do not return
+	// all at once.
 	minReturnAfter = 20 * time.Millisecond
 	maxReturnAfter = 500 * time.Millisecond
+	roomFraction   = 0.1
 	returnSpread   = 0.5
 	// If it is not known when room is expected, they return after minUnknownReturn plus a random
 	// part of unknownReturnJitter.
@@ -20,7 +23,7 @@
 	if roomIn <= 0 {
 		return minUnknownReturn + fractionOf(unknownReturnJitter, random)
 	}
-	return min(max(fractionOf(roomIn, 1+returnSpread*(2*random-1)), minReturnAfter), maxReturnAfter)
+	return min(max(fractionOf(roomIn, roomFraction*(1+returnSpread*(2*random-1))), minReturnAfter), maxReturnAfter)
 }
 
 // roomIn returns the expected time until one of several full targets ends a request, 0 if not
