Take no answer for whole that ends with its connection during an upload

A target answered a long upload at once, without a length, sent 14 bytes of body and reset the connection.

Cause: the write of the upload fails and takes the socket's error with it; the read after it finds what had arrived and then an ordinary end, which is how a body without a length ends. exchange kept the error of the write and passed the answer on.

Change: message.Conn keeps the error of a write and returns it in place of the end of the input, so that no reader above can take that end for the end of a body.

No copy of a body and no goroutine is added.

--- a/internal/call/exchange/exchange.go
+++ b/internal/call/exchange/exchange.go
@@ -88,7 +88,8 @@
 }
 
 // Result is the outcome of a TargetRequest. Response is nil if no complete response
-// was received, and Err says why. It has to be released. ConnectionBroken says that the target
+// was received, and Err says why. It has to be released. ResponseHeaders are those of the response,
+// or of the head of a refusal whose body was lost with the connection. ConnectionBroken says that the target
 // closed or reset the connection while the request was in flight, ConnectionLost that the
 // target, or the way to it, was silent until the connection failed, Unreachable that no
 // connection could be opened, NotAllowed that Allowed reported false,
@@ -110,6 +111,12 @@
 	Connecting time.Duration
 }
 
+// Responded reports whether the target has responded: with a complete response, or with the head of
+// a refusal.
+func (r *Result) Responded() bool {
+	return r.Response != nil || isRefusal(r.ResponseHeaders)
+}
+
 // Client sends requests over a pool of connections to targets. It is safe for
 // concurrent use.
 type Client struct {
@@ -182,9 +189,10 @@
 	if err != nil {
 		return nil, true, err
 	}
-	reader := message.NewReader(raw)
+	conn := &message.Conn{Conn: raw}
+	reader := message.NewReader(conn)
 	reader.Budget = c.Budget
-	return &connection{Conn: raw, reader: reader}, true, nil
+	return &connection{Conn: conn, reader: reader}, true, nil
 }
 
 // Dial opens a connection to an address.
@@ -211,16 +219,23 @@
 	for range maxSkipped + 1 {
 		resp, err := conn.reader.Response(req.Request.Method)
 		if err != nil {
+			result.Err = err
+			if !errors.Is(err, writeErr) {
+				result.Err = errors.Join(writeErr, err)
+			}
+			if headers, ok := c.refusedUntilClose(conn, req, resp); ok {
+				result.Verdict, result.ResponseHeaders = lacewingramp.NotRun, headers
+				return result
+			}
 			if req.DetectRefusals && c.refusedInHead(resp, req.ID) {
 				result.Verdict = lacewingramp.NotRun
 			}
-			result.Err = errors.Join(writeErr, err)
 			result.ConnectionLost = isLost(err)
 			result.ConnectionBroken = !result.ConnectionLost && brokenByTarget(err)
 			return result
 		}
 		headers := c.HeaderCodec.ResponseHeaders(resp.Status, resp.Header)
-		if headers.ID == "" && conn.sendsIDs && req.ID != "" && !req.AllowMissingID {
+		if conn.lacksID(req, headers) {
 			resp.Release()
 			result.Err = errors.New("the target sent a response without an ID")
 			return result
@@ -286,6 +301,18 @@
 	return h.ID == id && isRefusal(h)
 }
 
+// refusedUntilClose reports whether the head of a response, whose body should have ended with the
+// connection and could not be read, says that the request has not run. A target that refuses a long
+// upload ends its response so. It returns what the head says.
+func (c *Client) refusedUntilClose(conn *connection, req TargetRequest, resp *message.Response) (lacewingramp.ResponseHeaders, bool) {
+	if resp == nil || !resp.UntilClose {
+		return lacewingramp.ResponseHeaders{}, false
+	}
+	h := c.HeaderCodec.ResponseHeaders(resp.Status, resp.Header)
+	isOther := h.ID != "" && h.ID != req.ID
+	return h, isRefusal(h) && !isOther && !conn.lacksID(req, h)
+}
+
 // isLost reports whether a read error means that the target did not respond to keep-alive
 // probes, or that there is no way to it.
 func isLost(err error) bool {
@@ -318,28 +345,21 @@
 }
 
 // openWithoutInput reports whether a connection is open and has no unread bytes.
-func openWithoutInput(conn net.Conn) bool {
+func openWithoutInput(conn *message.Conn) bool {
 	_, err := peek(conn)
 	return errors.Is(err, syscall.EAGAIN)
 }
 
 // closedByTarget reports whether the target is known to have closed or reset a connection.
-func closedByTarget(conn net.Conn) bool {
+func closedByTarget(conn *message.Conn) bool {
 	n, err := peek(conn)
 	return (n == 0 && err == nil) || errors.Is(err, syscall.ECONNRESET)
 }
 
-// errNoSocket is returned for a connection that is not one of the operating system.
-var errNoSocket = errors.New("not a socket")
-
 // peek returns the number of unread bytes of a connection, at most 1, or the error of reading
 // them without waiting. It is 0 without an error at the end of the input.
-func peek(conn net.Conn) (n int, err error) {
-	t, ok := conn.(syscall.Conn)
-	if !ok {
-		return 0, errNoSocket
-	}
-	raw, err := t.SyscallConn()
+func peek(conn *message.Conn) (n int, err error) {
+	raw, err := conn.SyscallConn()
 	if err != nil {
 		return 0, err
 	}
--- a/internal/call/exchange/idle.go
+++ b/internal/call/exchange/idle.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"net"
 	"slices"
 	"sync"
 	"time"
@@ -12,7 +11,7 @@
 
 // connection is one connection to a target.
 type connection struct {
-	net.Conn
+	*message.Conn
 	reader   *message.Reader
 	lastUsed time.Time
 	maxIdle  time.Duration
@@ -30,6 +29,12 @@
 	c.sendsIDs = c.sendsIDs || h.ID != ""
 }
 
+// lacksID reports whether a response should have had an ID to be taken for that to a request, and
+// has none.
+func (c *connection) lacksID(req TargetRequest, h lacewingramp.ResponseHeaders) bool {
+	return h.ID == "" && c.sendsIDs && req.ID != "" && !req.AllowMissingID
+}
+
 // carries reports whether the connection may carry another request. One that is not
 // idempotent may be lost on a connection that is dead, and a repeated refusal would be
 // taken for the response to it.
--- a/internal/call/message/message.go
+++ b/internal/call/message/message.go
@@ -3,10 +3,12 @@
 //
 // A message that is malformed or too large is reported as a FormatError with the
 // status for its sender. A truncated response is an error and never passed on: the
-// body has been read to its end before the first byte goes to the caller.
+// body has been read to its end before the first byte goes to the caller. A response that
+// ends with its connection is only known to be whole on a Conn.
 //
 // # Usage
 //
+//	conn := &message.Conn{Conn: socket}
 //	r := message.NewReader(conn)
 //	request, err := r.Request(bounds, sendContinue)
 //	...
@@ -63,6 +65,9 @@
 	Body   []byte
 	// Close says that the sender closes the connection after the response.
 	Close bool
+	// UntilClose says that the body has neither a length nor chunks and ends with the
+	// connection.
+	UntilClose bool
 
 	// taken is the memory that the body takes from budget.
 	budget *Budget
@@ -166,7 +171,7 @@
 		r.limit.remaining = -1
 		response, err := r.readResponse(resp)
 		if err != nil {
-			return &Response{Status: resp.StatusCode, Header: resp.Header, Close: true}, r.responseError(err)
+			return &Response{Status: resp.StatusCode, Header: resp.Header, Close: true, UntilClose: isUntilClose(resp)}, r.responseError(err)
 		}
 		return response, nil
 	}
@@ -200,11 +205,8 @@
 // readResponse reads the body of a response. It does not close the body, which would
 // read the rest of one that is too large.
 func (r *Reader) readResponse(resp *http.Response) (*Response, error) {
-	response := &Response{Status: resp.StatusCode, Header: resp.Header, Close: resp.Close}
-	// A body with neither a length nor chunks ends when the connection is closed.
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		response.Close = true
-	}
+	untilClose := isUntilClose(resp)
+	response := &Response{Status: resp.StatusCode, Header: resp.Header, Close: resp.Close || untilClose, UntilClose: untilClose}
 	if resp.Body == http.NoBody {
 		return response, nil
 	}
@@ -216,6 +218,12 @@
 	return response, nil
 }
 
+// isUntilClose reports whether the body of a response has neither a length nor chunks. It then ends
+// when the connection is closed.
+func isUntilClose(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // AppendResponse appends, in wire format, a response to a request with the given
 // method.
 func AppendResponse(b []byte, resp *Response, method string) []byte {
--- a/internal/entry/edge/edge_reach.go
+++ b/internal/entry/edge/edge_reach.go
@@ -128,7 +128,7 @@
 		e.markLeaving(e.Timer.Now(), incarnation, "", "")
 		e.mu.Unlock()
 	}
-	return r.Response != nil
+	return r.Responded()
 }
 
 // accepts reports whether a connection to an address can be opened.
@@ -144,7 +144,7 @@
 // reachResult returns what the result of an attempt shows of the way to the targets.
 func reachResult(ctx context.Context, r exchange.Result) reach.Result {
 	return reach.Result{
-		Responded:        r.Response != nil,
+		Responded:        r.Responded(),
 		Cancelled:        r.NotAllowed || errors.Is(ctx.Err(), context.Canceled),
 		OpenedConnection: r.ConnectionOpened || r.Unreachable,
 	}
--- /dev/null
+++ b/internal/proof/rawtarget/rawtarget.go
@@ -0,0 +1,120 @@
+// Package rawtarget is a stand-in for a target in trouble: it answers each request with the
+// bytes that a test gives it, however broken, on a socket of the operating system.
+//
+// # Usage
+//
+//	t, err := rawtarget.Start(rawtarget.Script{Answer: rawtarget.Text("HTTP/1.1 200 OK\r\n\r\npart"), End: rawtarget.EndReset})
+//	defer t.Close()
+package rawtarget
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// End is what becomes of a connection after an answer.
+type End int
+
+const (
+	// EndNone keeps the connection open for further requests.
+	EndNone End = iota
+	// EndClose closes it. The kernel resets a connection that is closed with bytes unread.
+	EndClose
+	// EndReset resets it.
+	EndReset
+	// EndHalf ends the answer alone, and resets the connection as long again afterwards.
+	EndHalf
+)
+
+// Script says how a target answers each request.
+type Script struct {
+	// Answer returns the bytes that are written once the head of a request was read.
+	Answer func(*http.Request) string
+	// ReadBody has the body of the request read to its end before.
+	ReadBody bool
+	// Wait is how long the target waits after the answer before the end.
+	Wait time.Duration
+	End  End
+}
+
+// Text returns a function that answers any request with a text.
+func Text(answer string) func(*http.Request) string {
+	return func(*http.Request) string { return answer }
+}
+
+// Target is a running stand-in.
+type Target struct {
+	Address string
+	// Connections and Requests count what was accepted, and the heads that were read.
+	Connections, Requests atomic.Int32
+	// Ended counts the connections that have ended.
+	Ended atomic.Int32
+
+	listener net.Listener
+	script   Script
+}
+
+// Start starts a target on a loopback address.
+func Start(s Script) (*Target, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	t := &Target{Address: l.Addr().String(), listener: l, script: s}
+	go t.accept()
+	return t, nil
+}
+
+// Close stops the target from accepting connections.
+func (t *Target) Close() error { return t.listener.Close() }
+
+func (t *Target) accept() {
+	for {
+		c, err := t.listener.Accept()
+		if err != nil {
+			return
+		}
+		t.Connections.Add(1)
+		go t.serve(c.(*net.TCPConn))
+	}
+}
+
+func (t *Target) serve(c *net.TCPConn) {
+	defer t.Ended.Add(1)
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		t.Requests.Add(1)
+		if t.script.ReadBody {
+			_, _ = io.Copy(io.Discard, req.Body)
+		}
+		if _, err := io.WriteString(c, t.script.Answer(req)); err != nil {
+			return
+		}
+		if t.script.End != EndNone {
+			t.end(c)
+			return
+		}
+	}
+}
+
+// end ends a connection as the script says.
+func (t *Target) end(c *net.TCPConn) {
+	time.Sleep(t.script.Wait)
+	switch t.script.End {
+	case EndHalf:
+		_ = c.CloseWrite()
+		time.Sleep(t.script.Wait)
+		_ = c.SetLinger(0)
+	case EndReset:
+		_ = c.SetLinger(0)
+	}
+}
