Hold the older client's answers to the same rule for broken uploads

Cause: net/http's transport reads the answer while it writes the upload. A write that fails takes the socket's error, and the body without a length then ends well; a target that ends its answer alone, before the upload, was taken at its word as well.

Change: the transport's connections are message.Conn, and the trace of a request tells them when it begins and when it is written, so that the end of the input waits for that. A write that fails with EPIPE counts as a lost connection like one with ECONNRESET.

No copy of a body and no goroutine is added.

--- a/internal/call/attempt/attempt.go
+++ b/internal/call/attempt/attempt.go
@@ -77,7 +77,7 @@
 
 func newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:            dial,
 		IdleConnTimeout:        idleTimeout,
 		MaxIdleConnsPerHost:    idlePerHost,
 		MaxResponseHeaderBytes: maxHeaderLen,
@@ -85,6 +85,15 @@
 	}
 }
 
+// dial opens a connection to a target.
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	socket, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &message.Conn{Conn: socket}, nil
+}
+
 // Result is the result of an attempt. Response is nil if Do returns an error.
 // Leaving is set if the target reports that it should get no new requests.
 type Result struct {
@@ -119,22 +128,40 @@
 	return c.readResponse(ctx, resp, t, r)
 }
 
-// requestTrace records the connection of a request, and whether its headers were written.
+// requestTrace records the connection of a request, and whether its headers were written. It tells
+// the connection when the request is written.
 type requestTrace struct {
 	wrote atomic.Bool
-	conn  atomic.Pointer[net.Conn]
+	conn  atomic.Pointer[message.Conn]
+}
+
+// begin begins the request on a connection, which is one of dial.
+func (t *requestTrace) begin(i httptrace.GotConnInfo) {
+	conn, ok := i.Conn.(*message.Conn)
+	if !ok {
+		return
+	}
+	conn.Begin()
+	t.conn.Store(conn)
+}
+
+func (t *requestTrace) end(i httptrace.WroteRequestInfo) {
+	if conn := t.conn.Load(); conn != nil {
+		conn.End(i.Err)
+	}
 }
 
 func (t *requestTrace) closeConnection() {
 	if conn := t.conn.Load(); conn != nil {
-		_ = (*conn).Close()
+		_ = conn.Close()
 	}
 }
 
 func newRequest(ctx context.Context, t lacewingramp.Target, r *lacewingramp.ForwardRequest, trace *requestTrace) (*http.Request, error) {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:      func(i httptrace.GotConnInfo) { trace.conn.Store(&i.Conn) },
+		GotConn:      trace.begin,
 		WroteHeaders: func() { trace.wrote.Store(true) },
+		WroteRequest: trace.end,
 	})
 	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+t.Address+r.URI, bytes.NewReader(r.Body))
 	if err != nil {
@@ -178,7 +205,7 @@
 }
 
 func connectionLost(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
 // errorText returns the text of an error without the network addresses that a
--- a/internal/call/message/conn.go
+++ b/internal/call/message/conn.go
@@ -69,15 +69,15 @@
 	return n, err
 }
 
-// Read reads from the connection. In place of the end of the input it returns the error of a write
-// that has failed.
+// Read reads from the connection. In place of the end of the input, or of the error that the
+// connection has been closed, it returns the error of a write that has failed.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if !errors.Is(err, io.EOF) {
+	if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 		return n, err
 	}
-	if err := c.written(); err != nil {
-		return n, err
+	if writeErr := c.written(); writeErr != nil {
+		return n, writeErr
 	}
 	return n, err
 }
