Take no answer whose head has an invalid field

Control bytes, other characters that no token has, an empty name and a first line that is folded are refused by net/textproto of this Go release.

Change: Reader.Response checks the fields of each head, interim ones too, and returns a FormatError without the head, so that nothing of it is believed: no ID, no refusal, no Keep-Alive. The request may have run, and the connection is closed. Fields of trailers are dropped as before; folded lines are still joined (RFC 9112, 5.2).

--- a/internal/call/message/header.go
+++ b/internal/call/message/header.go
@@ -1,6 +1,7 @@
 package message
 
 import (
+	"fmt"
 	"net/http"
 	"net/textproto"
 	"strings"
@@ -26,6 +27,18 @@
 	}
 }
 
+// CheckFields returns a FormatError if the header of a response, interim or final, has an invalid
+// field. Nothing of such a response may be used: a field that this program takes for another one
+// than its sender or its receiver may frame the body, name another request, or say that the
+// request has not run.
+func CheckFields(h http.Header) error {
+	name, ok := invalidField(h)
+	if !ok {
+		return nil
+	}
+	return &FormatError{Status: http.StatusBadGateway, Detail: fmt.Sprintf("invalid header field %.40q", name)}
+}
+
 // invalidField returns the name of a field whose name or value HTTP does not allow. net/http
 // accepts a space before the colon, which the receiver of a forwarded message may take for a
 // part of the name or not.
--- a/internal/call/message/message.go
+++ b/internal/call/message/message.go
@@ -154,7 +154,8 @@
 
 // Response reads one response to a request with the given method. Interim responses
 // are skipped. Its error is a FormatError unless the connection has failed. If only the body
-// cannot be read, the response is returned without it, beside the error.
+// cannot be read, the response is returned without it, beside the error. Fields of a trailer are
+// not kept.
 func (r *Reader) Response(method string) (*Response, error) {
 	r.limit.remaining, r.limit.remainingLines = maxResponseHeader, maxResponseLines
 	for {
@@ -162,6 +163,9 @@
 		if err != nil {
 			return nil, r.responseError(err)
 		}
+		if err := CheckFields(resp.Header); err != nil {
+			return nil, err
+		}
 		if isInterim(resp.StatusCode) {
 			continue
 		}
--- a/internal/proof/rawtarget/rawtarget.go
+++ b/internal/proof/rawtarget/rawtarget.go
@@ -51,6 +51,8 @@
 	Address string
 	// Connections and Requests count what was accepted, and the heads that were read.
 	Connections, Requests atomic.Int32
+	// Repeated counts the requests that came on a connection after another one.
+	Repeated atomic.Int32
 	// Ended counts the connections that have ended.
 	Ended atomic.Int32
 
@@ -87,12 +89,15 @@
 	defer t.Ended.Add(1)
 	defer func() { _ = c.Close() }()
 	r := bufio.NewReader(c)
-	for {
+	for n := 0; ; n++ {
 		req, err := http.ReadRequest(r)
 		if err != nil {
 			return
 		}
 		t.Requests.Add(1)
+		if n > 0 {
+			t.Repeated.Add(1)
+		}
 		if t.script.ReadBody {
 			_, _ = io.Copy(io.Discard, req.Body)
 		}
