--- a/internal/call/attempt/field_test.go
+++ b/internal/call/attempt/field_test.go
@@ -32,7 +32,7 @@
 	expectNothing := func(ctx context.Context, answer string, end rawtarget.End) {
 		ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
 		defer cancel()
-		stub, t := startRaw(rawtarget.Script{Answer: rawtarget.Text(answer), ReadBody: true, End: end})
+		stub, t := startRaw(rawtarget.Script{Answer: answer, ReadBody: true, End: end})
 		c := &attempt.Caller{}
 		defer c.Close()
 		for range 2 {
@@ -74,7 +74,7 @@
 	// Guards against a connection that is passed on to the next request before the answer on it has
 	// been checked, as net/http does with an answer without a body.
 	ginkgo.It("leaves its connection to no other request, with many at a time", func(ctx context.Context) {
-		stub, t := startRaw(rawtarget.Script{Answer: rawtarget.Text("HTTP/1.1 200 OK\r\nX A: 1\r\nContent-Length: 0\r\n\r\n")})
+		stub, t := startRaw(rawtarget.Script{Answer: "HTTP/1.1 200 OK\r\nX A: 1\r\nContent-Length: 0\r\n\r\n"})
 		c := &attempt.Caller{}
 		defer c.Close()
 		var wg sync.WaitGroup
@@ -93,7 +93,7 @@
 
 	// Trailers are not kept, so that no field of theirs reaches a caller.
 	ginkgo.It("is told from one with such a field in its trailer, which is dropped", func(ctx context.Context) {
-		_, t := startRaw(rawtarget.Script{Answer: rawtarget.Text("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX A: 1\r\n\r\n")})
+		_, t := startRaw(rawtarget.Script{Answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX A: 1\r\n\r\n"})
 		c := &attempt.Caller{}
 		defer c.Close()
 		r, err := c.Do(ctx, t, newForwardRequest("x"), false)
@@ -104,7 +104,7 @@
 
 	// RFC 9112, 5.2 allows a line to be folded in an answer.
 	ginkgo.It("is told from one with a folded line", func(ctx context.Context) {
-		_, t := startRaw(rawtarget.Script{Answer: rawtarget.Text("HTTP/1.1 200 OK\r\nX: a,\r\n b\r\nContent-Length: 2\r\n\r\nok")})
+		_, t := startRaw(rawtarget.Script{Answer: "HTTP/1.1 200 OK\r\nX: a,\r\n b\r\nContent-Length: 2\r\n\r\nok"})
 		c := &attempt.Caller{}
 		defer c.Close()
 		r, err := c.Do(ctx, t, newForwardRequest("x"), false)
@@ -118,7 +118,7 @@
 	ginkgo.DescribeTable("without end are cut off, and the request may have run", func(ctx context.Context, interim string) {
 		ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
 		defer cancel()
-		stub, t := startRaw(rawtarget.Script{Answer: rawtarget.Text(strings.Repeat(interim, 4<<20/len(interim)))})
+		stub, t := startRaw(rawtarget.Script{Answer: strings.Repeat(interim, 4<<20/len(interim))})
 		c := &attempt.Caller{}
 		defer c.Close()
 		r, err := c.Do(ctx, t, newForwardRequest("x"), false)
@@ -133,7 +133,7 @@
 
 	ginkgo.It("are skipped if there are few", func(ctx context.Context) {
 		interim := strings.Repeat("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", 5)
-		_, t := startRaw(rawtarget.Script{Answer: rawtarget.Text(interim + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")})
+		_, t := startRaw(rawtarget.Script{Answer: interim + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"})
 		c := &attempt.Caller{}
 		defer c.Close()
 		r, err := c.Do(ctx, t, newForwardRequest("x"), false)
--- a/internal/call/attempt/upload_test.go
+++ b/internal/call/attempt/upload_test.go
@@ -51,7 +51,7 @@
 	ginkgo.DescribeTable("and that ends with its connection may have run and is no answer",
 		func(ctx context.Context, end rawtarget.End, size int) {
 			for range 10 {
-				r, err := do(ctx, rawtarget.Script{Answer: rawtarget.Text(untilClose), End: end, Wait: endDelay}, http.MethodPost, size)
+				r, err := do(ctx, rawtarget.Script{Answer: untilClose, End: end, Wait: endDelay}, http.MethodPost, size)
 				gomega.Expect(r.Response).To(gomega.BeNil())
 				gomega.Expect(err).To(gomega.HaveOccurred())
 				gomega.Expect(lacewingramp.RefusalOf(err).Verdict).To(gomega.Equal(lacewingramp.MayHaveRun))
@@ -68,7 +68,7 @@
 	ginkgo.DescribeTable("and whose end is known is passed on",
 		func(ctx context.Context, answer, method, body string) {
 			for _, end := range []rawtarget.End{rawtarget.EndReset, rawtarget.EndClose, rawtarget.EndHalf} {
-				r, err := do(ctx, rawtarget.Script{Answer: rawtarget.Text(answer), End: end, Wait: endDelay}, method, longUpload)
+				r, err := do(ctx, rawtarget.Script{Answer: answer, End: end, Wait: endDelay}, method, longUpload)
 				gomega.Expect(err).NotTo(gomega.HaveOccurred())
 				gomega.Expect(string(r.Response.Body)).To(gomega.Equal(body))
 			}
@@ -85,7 +85,7 @@
 	ginkgo.DescribeTable("is told from one without a length to a request that was read whole",
 		func(ctx context.Context, end rawtarget.End, size int) {
 			for range 10 {
-				r, err := do(ctx, rawtarget.Script{Answer: rawtarget.Text(untilClose), ReadBody: true, End: end}, http.MethodPost, size)
+				r, err := do(ctx, rawtarget.Script{Answer: untilClose, ReadBody: true, End: end}, http.MethodPost, size)
 				gomega.Expect(err).NotTo(gomega.HaveOccurred())
 				gomega.Expect(string(r.Response.Body)).To(gomega.Equal("14 bytes of it"))
 			}
@@ -96,7 +96,7 @@
 	// Guards against 502 for a request that its target has refused, as targets do while a long upload
 	// still comes.
 	ginkgo.It("and that refuses the request stays a refusal", func(ctx context.Context) {
-		answer := rawtarget.Text("HTTP/1.1 503 X\r\nLacewingramp-Shed: 1\r\n\r\nno room")
+		answer := "HTTP/1.1 503 X\r\nLacewingramp-Shed: 1\r\n\r\nno room"
 		for _, end := range []rawtarget.End{rawtarget.EndReset, rawtarget.EndClose, rawtarget.EndHalf} {
 			r, err := do(ctx, rawtarget.Script{Answer: answer, End: end, Wait: endDelay}, http.MethodPost, longUpload)
 			gomega.Expect(lacewingramp.RefusalOf(err).Verdict).To(gomega.Equal(lacewingramp.NotRun))
--- a/internal/call/exchange/field_test.go
+++ b/internal/call/exchange/field_test.go
@@ -29,7 +29,7 @@
 	expectNothing := func(ctx context.Context, answer string, end rawtarget.End) {
 		ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
 		defer cancel()
-		t := startRaw(rawtarget.Script{Answer: rawtarget.Text(answer), ReadBody: true, End: end})
+		t := startRaw(rawtarget.Script{Answer: answer, ReadBody: true, End: end})
 		c := &exchange.Client{HeaderCodec: testCodec{}}
 		for _, nonIdempotent := range []bool{true, false} {
 			req := upload(t, http.MethodPost, 3)
@@ -73,7 +73,7 @@
 	ginkgo.It("proves no connection, and the request is not written", func(ctx context.Context) {
 		for _, line := range invalidLines {
 			for _, head := range []string{"HTTP/1.1 200 OK\r\n", "HTTP/1.1 100 Continue\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\n"} {
-				t := startRaw(rawtarget.Script{Answer: rawtarget.Text(head + line + "\r\nContent-Length: 2\r\n\r\nok")})
+				t := startRaw(rawtarget.Script{Answer: head + line + "\r\nContent-Length: 2\r\n\r\nok"})
 				c := &exchange.Client{HeaderCodec: proveCodec{}}
 				req := upload(t, http.MethodPost, 3)
 				req.Prove = &message.Request{Method: http.MethodGet, URI: "/health", Host: "h"}
@@ -87,7 +87,7 @@
 
 	// RFC 9112, 5.2 allows a line to be folded in an answer.
 	ginkgo.It("is told from one with a folded line, which is used like any other", func(ctx context.Context) {
-		t := startRaw(rawtarget.Script{Answer: rawtarget.Text("HTTP/1.1 200 OK\r\nId: 1\r\nX: a,\r\n b\r\nContent-Length: 2\r\n\r\nok")})
+		t := startRaw(rawtarget.Script{Answer: "HTTP/1.1 200 OK\r\nId: 1\r\nX: a,\r\n b\r\nContent-Length: 2\r\n\r\nok"})
 		c := &exchange.Client{HeaderCodec: testCodec{}}
 		for range 2 {
 			r := c.Do(ctx, upload(t, http.MethodGet, 0))
--- a/internal/call/exchange/lost_test.go
+++ b/internal/call/exchange/lost_test.go
@@ -37,7 +37,7 @@
 // upload: the requests that it was running would then count as crashing ones.
 var _ = ginkgo.It("a connection that is lost during an upload was not broken by its target", func(ctx context.Context) {
 	c := &exchange.Client{HeaderCodec: testCodec{}, Dialer: &silentDialer{}}
-	r := c.Do(ctx, upload(startRaw(rawtarget.Script{Answer: rawtarget.Text("")}), "POST", longUpload))
+	r := c.Do(ctx, upload(startRaw(rawtarget.Script{Answer: ""}), "POST", longUpload))
 	gomega.Expect(r.ConnectionLost).To(gomega.BeTrue())
 	gomega.Expect(r.ConnectionBroken).To(gomega.BeFalse())
 })
--- a/internal/call/exchange/upload_test.go
+++ b/internal/call/exchange/upload_test.go
@@ -63,22 +63,22 @@
 			gomega.Expect(r.ConnectionBroken).To(gomega.BeTrue())
 			gomega.Expect(t.Requests.Load()).To(gomega.Equal(int32(1)))
 		},
-		ginkgo.Entry("by a reset", rawtarget.Script{Answer: rawtarget.Text(untilClose), End: rawtarget.EndReset}, longUpload),
-		ginkgo.Entry("by a close with bytes unread", rawtarget.Script{Answer: rawtarget.Text(untilClose), End: rawtarget.EndClose}, longUpload),
-		ginkgo.Entry("by an end of the answer alone and a reset later", rawtarget.Script{Answer: rawtarget.Text(untilClose), End: rawtarget.EndHalf}, longUpload),
-		ginkgo.Entry("by a reset, of an upload that the kernel takes", rawtarget.Script{Answer: rawtarget.Text(untilClose), End: rawtarget.EndReset}, shortUpload),
-		ginkgo.Entry("by a reset, in HTTP/1.0", rawtarget.Script{Answer: rawtarget.Text("HTTP/1.0 200 OK\r\nId: 1\r\n\r\n14 bytes of it"), End: rawtarget.EndReset}, longUpload),
-		ginkgo.Entry("by a reset right after the head", rawtarget.Script{Answer: rawtarget.Text("HTTP/1.1 200 OK\r\nId: 1\r\n\r\n"), End: rawtarget.EndReset}, longUpload),
-		ginkgo.Entry("by a reset, after an interim response", rawtarget.Script{Answer: rawtarget.Text("HTTP/1.1 100 Continue\r\n\r\n" + untilClose), End: rawtarget.EndReset}, longUpload),
-		ginkgo.Entry("by a reset, in a body with a length", rawtarget.Script{Answer: rawtarget.Text("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 15\r\n\r\n14 bytes of it"), End: rawtarget.EndReset}, longUpload),
-		ginkgo.Entry("by a reset, between chunks", rawtarget.Script{Answer: rawtarget.Text("HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n14\r\n"), End: rawtarget.EndReset}, longUpload),
+		ginkgo.Entry("by a reset", rawtarget.Script{Answer: untilClose, End: rawtarget.EndReset}, longUpload),
+		ginkgo.Entry("by a close with bytes unread", rawtarget.Script{Answer: untilClose, End: rawtarget.EndClose}, longUpload),
+		ginkgo.Entry("by an end of the answer alone and a reset later", rawtarget.Script{Answer: untilClose, End: rawtarget.EndHalf}, longUpload),
+		ginkgo.Entry("by a reset, of an upload that the kernel takes", rawtarget.Script{Answer: untilClose, End: rawtarget.EndReset}, shortUpload),
+		ginkgo.Entry("by a reset, in HTTP/1.0", rawtarget.Script{Answer: "HTTP/1.0 200 OK\r\nId: 1\r\n\r\n14 bytes of it", End: rawtarget.EndReset}, longUpload),
+		ginkgo.Entry("by a reset right after the head", rawtarget.Script{Answer: "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", End: rawtarget.EndReset}, longUpload),
+		ginkgo.Entry("by a reset, after an interim response", rawtarget.Script{Answer: "HTTP/1.1 100 Continue\r\n\r\n" + untilClose, End: rawtarget.EndReset}, longUpload),
+		ginkgo.Entry("by a reset, in a body with a length", rawtarget.Script{Answer: "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 15\r\n\r\n14 bytes of it", End: rawtarget.EndReset}, longUpload),
+		ginkgo.Entry("by a reset, between chunks", rawtarget.Script{Answer: "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n14\r\n", End: rawtarget.EndReset}, longUpload),
 	)
 
 	// Guards against losing an answer that is known to be whole.
 	ginkgo.DescribeTable("and whose end is known is passed on",
 		func(ctx context.Context, answer, method, body string) {
 			for _, end := range []rawtarget.End{rawtarget.EndReset, rawtarget.EndClose, rawtarget.EndHalf} {
-				r, _ := do(ctx, rawtarget.Script{Answer: rawtarget.Text(answer), End: end, Wait: endDelay}, method, longUpload)
+				r, _ := do(ctx, rawtarget.Script{Answer: answer, End: end, Wait: endDelay}, method, longUpload)
 				gomega.Expect(r.Response).NotTo(gomega.BeNil(), "%v", r.Err)
 				gomega.Expect(r.Verdict).To(gomega.Equal(lacewingramp.Ran))
 				gomega.Expect(string(r.Response.Body)).To(gomega.Equal(body))
@@ -95,7 +95,7 @@
 	// Guards against refusing an answer without a length to an upload that was read.
 	ginkgo.It("is told from one without a length to an upload that was read whole", func(ctx context.Context) {
 		for _, end := range []rawtarget.End{rawtarget.EndClose, rawtarget.EndHalf} {
-			r, _ := do(ctx, rawtarget.Script{Answer: rawtarget.Text(untilClose), ReadBody: true, End: end, Wait: endDelay}, http.MethodPost, longUpload)
+			r, _ := do(ctx, rawtarget.Script{Answer: untilClose, ReadBody: true, End: end, Wait: endDelay}, http.MethodPost, longUpload)
 			gomega.Expect(r.Verdict).To(gomega.Equal(lacewingramp.Ran), "%v", r.Err)
 			gomega.Expect(string(r.Response.Body)).To(gomega.Equal("14 bytes of it"))
 		}
@@ -105,7 +105,7 @@
 	// still comes.
 	ginkgo.DescribeTable("and that refuses the request stays a refusal",
 		func(ctx context.Context, head string) {
-			answer := rawtarget.Text("HTTP/1.1 503 X\r\n" + head + "\r\nno room")
+			answer := "HTTP/1.1 503 X\r\n" + head + "\r\nno room"
 			for _, end := range []rawtarget.End{rawtarget.EndReset, rawtarget.EndClose, rawtarget.EndHalf} {
 				r, _ := do(ctx, rawtarget.Script{Answer: answer, End: end, Wait: endDelay}, http.MethodPost, longUpload)
 				gomega.Expect(r.Verdict).To(gomega.Equal(lacewingramp.NotRun), "%v", r.Err)
@@ -121,7 +121,7 @@
 
 	// Guards against a request that may have run and is told not to have.
 	ginkgo.It("and that refuses another request may have run", func(ctx context.Context) {
-		answer := rawtarget.Text("HTTP/1.1 503 X\r\nId: 2\r\nShed: 1\r\n\r\nno room")
+		answer := "HTTP/1.1 503 X\r\nId: 2\r\nShed: 1\r\n\r\nno room"
 		r, _ := do(ctx, rawtarget.Script{Answer: answer, End: rawtarget.EndReset, Wait: endDelay}, http.MethodPost, longUpload)
 		gomega.Expect(r.Verdict).To(gomega.Equal(lacewingramp.MayHaveRun))
 		gomega.Expect(r.Response).To(gomega.BeNil())
--- a/internal/call/message/conn_test.go
+++ b/internal/call/message/conn_test.go
@@ -20,7 +20,7 @@
 	// longBody is more than the kernel takes of a body that nobody reads.
 	const longBody = 16 << 20
 	const head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 16777216\r\n\r\n"
-	answer := rawtarget.Text("HTTP/1.1 200 OK\r\n\r\npart")
+	answer := "HTTP/1.1 200 OK\r\n\r\npart"
 	open := func(s rawtarget.Script) *message.Conn {
 		t, err := rawtarget.Start(s)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
--- a/internal/proof/rawtarget/rawtarget.go
+++ b/internal/proof/rawtarget/rawtarget.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	t, err := rawtarget.Start(rawtarget.Script{Answer: rawtarget.Text("HTTP/1.1 200 OK\r\n\r\npart"), End: rawtarget.EndReset})
+//	t, err := rawtarget.Start(rawtarget.Script{Answer: "HTTP/1.1 200 OK\r\n\r\npart", End: rawtarget.EndReset})
 //	defer t.Close()
 package rawtarget
 
@@ -30,10 +30,10 @@
 	EndHalf
 )
 
-// Script says how a target answers each request.
+// Script says how a target answers a request.
 type Script struct {
-	// Answer returns the bytes that are written once the head of a request was read.
-	Answer func(*http.Request) string
+	// Answer is written once the head of the request was read.
+	Answer string
 	// ReadBody has the body of the request read to its end before.
 	ReadBody bool
 	// Wait is how long the target waits after the answer before the end.
@@ -41,11 +41,6 @@
 	End  End
 }
 
-// Text returns a function that answers any request with a text.
-func Text(answer string) func(*http.Request) string {
-	return func(*http.Request) string { return answer }
-}
-
 // Target is a running stand-in.
 type Target struct {
 	Address string
@@ -57,16 +52,21 @@
 	Ended atomic.Int32
 
 	listener net.Listener
-	script   Script
+	script   func(*http.Request) Script
 }
 
-// Start starts a target on a loopback address.
+// Start starts a target on a loopback address that answers all requests alike.
 func Start(s Script) (*Target, error) {
+	return StartFunc(func(*http.Request) Script { return s })
+}
+
+// StartFunc starts a target on a loopback address that asks for the script of each request.
+func StartFunc(script func(*http.Request) Script) (*Target, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	t := &Target{Address: l.Addr().String(), listener: l, script: s}
+	t := &Target{Address: l.Addr().String(), listener: l, script: script}
 	go t.accept()
 	return t, nil
 }
@@ -98,26 +98,28 @@
 		if n > 0 {
 			t.Repeated.Add(1)
 		}
-		if t.script.ReadBody {
+		s := t.script(req)
+		if s.ReadBody {
 			_, _ = io.Copy(io.Discard, req.Body)
 		}
-		if _, err := io.WriteString(c, t.script.Answer(req)); err != nil {
+		if _, err := io.WriteString(c, s.Answer); err != nil {
 			return
 		}
-		if t.script.End != EndNone {
-			t.end(c)
+		if s.End != EndNone {
+			s.end(c)
 			return
 		}
+		_, _ = io.Copy(io.Discard, req.Body)
 	}
 }
 
-// end ends a connection as the script says.
-func (t *Target) end(c *net.TCPConn) {
-	time.Sleep(t.script.Wait)
-	switch t.script.End {
+// end ends a connection, which is closed afterwards.
+func (s *Script) end(c *net.TCPConn) {
+	time.Sleep(s.Wait)
+	switch s.End {
 	case EndHalf:
 		_ = c.CloseWrite()
-		time.Sleep(t.script.Wait)
+		time.Sleep(s.Wait)
 		_ = c.SetLinger(0)
 	case EndReset:
 		_ = c.SetLinger(0)
