--- a/internal/call/attempt/request_trace.go
+++ b/internal/call/attempt/request_trace.go
@@ -59,7 +59,7 @@
 		return
 	}
 	conn.inUse.Lock()
-	conn.Begin()
+	conn.BeginRequest()
 	t.held = conn
 	t.conn.Store(conn)
 }
@@ -68,7 +68,7 @@
 // before the request is.
 func (t *requestTrace) end(i httptrace.WroteRequestInfo) {
 	if conn := t.conn.Load(); conn != nil {
-		conn.End(i.Err)
+		conn.EndRequest(i.Err)
 	}
 }
 
--- a/internal/call/exchange/exchange.go
+++ b/internal/call/exchange/exchange.go
@@ -88,9 +88,10 @@
 }
 
 // Result is the outcome of a TargetRequest. Response is nil if no complete response
-// was received, and Err says why. It has to be released. ResponseHeaders are those of the response,
-// or of the head of a refusal whose body was lost with the connection. ConnectionBroken says that the target
-// closed or reset the connection while the request was in flight, ConnectionLost that the
+// was received, and Err says why. It has to be released. ResponseHeaders are those of the
+// response, or of the head of a refusal whose body was lost with the connection.
+// ConnectionBroken says that the target closed or reset the connection while the request was
+// in flight, ConnectionLost that the
 // target, or the way to it, was silent until the connection failed, Unreachable that no
 // connection could be opened, NotAllowed that Allowed reported false,
 // ConnectionOpened that a connection was opened for the request, and ConnectionRefused that
--- a/internal/call/message/conn.go
+++ b/internal/call/message/conn.go
@@ -16,8 +16,8 @@
 // request is being written, the write that fails takes the socket's error, and a read then finds
 // what had arrived and an ordinary end. Read returns the error of the write instead of that end.
 //
-// Whoever reads while a request is still being written calls Begin before the request and End after
-// it. Read then reports no end of the input before it is known whether the request was written.
+// Whoever reads while a request is still being written calls BeginRequest before it and EndRequest
+// after it. Read then reports no end of the input before it is known whether the request was written.
 type Conn struct {
 	net.Conn
 
@@ -31,11 +31,11 @@
 	closed   bool
 }
 
-// ErrNotSocket is returned for a connection that is not one of the operating system.
-var ErrNotSocket = errors.New("not a socket")
+// errNotSocket is returned for a connection that is not one of the operating system.
+var errNotSocket = errors.New("not a socket")
 
-// Begin says that a request is about to be written.
-func (c *Conn) Begin() {
+// BeginRequest says that a request is about to be written.
+func (c *Conn) BeginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.closed {
@@ -43,8 +43,8 @@
 	}
 }
 
-// End says that the request has been written, or the error with which that has failed.
-func (c *Conn) End(err error) {
+// EndRequest says that the request has been written, or the error with which that has failed.
+func (c *Conn) EndRequest(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.fail(err)
@@ -106,15 +106,15 @@
 	c.mu.Lock()
 	c.closed = true
 	c.mu.Unlock()
-	c.End(net.ErrClosed)
+	c.EndRequest(net.ErrClosed)
 	return c.Conn.Close()
 }
 
-// SyscallConn returns the socket of the connection, or ErrNotSocket.
+// SyscallConn returns the socket of the connection, or errNotSocket.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	s, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return nil, ErrNotSocket
+		return nil, errNotSocket
 	}
 	return s.SyscallConn()
 }
--- a/internal/call/message/conn_test.go
+++ b/internal/call/message/conn_test.go
@@ -67,8 +67,8 @@
 		func(s rawtarget.Script, whole bool) {
 			s.Answer, s.Wait = answer, 30*time.Millisecond
 			c := open(s)
-			c.Begin()
-			go func() { c.End(write(c)) }()
+			c.BeginRequest()
+			go func() { c.EndRequest(write(c)) }()
 			raw, err := io.ReadAll(c)
 			gomega.Expect(string(raw)).To(gomega.HaveSuffix("part"))
 			if whole {
@@ -86,7 +86,7 @@
 	// Guards against a reader that waits for ever for a request that is never written.
 	ginkgo.It("ends when it is closed while the end of the request is awaited", func(ctx context.Context) {
 		c := open(rawtarget.Script{Answer: answer, End: rawtarget.EndHalf, Wait: 30 * time.Millisecond})
-		c.Begin()
+		c.BeginRequest()
 		_, err := io.WriteString(c, strings.Replace(head, "16777216", "0", 1))
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		ended := make(chan error, 1)
--- a/internal/call/message/truncated_test.go
+++ b/internal/call/message/truncated_test.go
@@ -54,7 +54,8 @@
 )
 
 // A body without a length ends with the connection, so that only its head can be seen to
-// end early, or a reset.
+// end early, or a reset. A socket doesn't always report a reset to its reader: see Conn, and
+// "a connection to a target".
 var _ = ginkgo.It("a response without a length that ends in its head, or by a reset, is an error", func() {
 	const head, body = "HTTP/1.1 200 OK\r\nId: 1\r\nSignature: 3e1b.07\r\n\r\n", "hello, world"
 	for end := range len(head) {
