--- a/internal/call/exchange/exchange.go
+++ b/internal/call/exchange/exchange.go
@@ -287,33 +287,6 @@
 	return result
 }
 
-// isRefusal reports whether a response says that the request has not run.
-func isRefusal(h lacewingramp.ResponseHeaders) bool {
-	return h.NotRun || h.WrongTarget
-}
-
-// refusedInHead reports whether the head of a response, whose body could not be read, says that
-// the request with an ID has not run.
-func (c *Client) refusedInHead(resp *message.Response, id string) bool {
-	if resp == nil || id == "" {
-		return false
-	}
-	h := c.HeaderCodec.ResponseHeaders(resp.Status, resp.Header)
-	return h.ID == id && isRefusal(h)
-}
-
-// refusedUntilClose reports whether the head of a response, whose body should have ended with the
-// connection and could not be read, says that the request has not run. A target that refuses a long
-// upload ends its response so. It returns what the head says.
-func (c *Client) refusedUntilClose(conn *connection, req TargetRequest, resp *message.Response) (lacewingramp.ResponseHeaders, bool) {
-	if resp == nil || !resp.UntilClose {
-		return lacewingramp.ResponseHeaders{}, false
-	}
-	h := c.HeaderCodec.ResponseHeaders(resp.Status, resp.Header)
-	isOther := h.ID != "" && h.ID != req.ID
-	return h, isRefusal(h) && !isOther && !conn.lacksID(req, h)
-}
-
 // isLost reports whether a read error means that the target did not respond to keep-alive
 // probes, or that there is no way to it.
 func isLost(err error) bool {
@@ -344,34 +317,3 @@
 	}
 	return defaultMaxIdle
 }
-
-// openWithoutInput reports whether a connection is open and has no unread bytes.
-func openWithoutInput(conn *message.Conn) bool {
-	_, err := peek(conn)
-	return errors.Is(err, syscall.EAGAIN)
-}
-
-// closedByTarget reports whether the target is known to have closed or reset a connection.
-func closedByTarget(conn *message.Conn) bool {
-	n, err := peek(conn)
-	return (n == 0 && err == nil) || errors.Is(err, syscall.ECONNRESET)
-}
-
-// peek returns the number of unread bytes of a connection, at most 1, or the error of reading
-// them without waiting. It is 0 without an error at the end of the input.
-func peek(conn *message.Conn) (n int, err error) {
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	var peekErr error
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, _, peekErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return true
-	})
-	if err != nil {
-		return 0, err
-	}
-	return n, peekErr
-}
