--- a/internal/entry/edge/broken_answer_test.go
+++ b/internal/entry/edge/broken_answer_test.go
@@ -134,8 +134,24 @@
 
 	// Guards against 502 for a request that has not run.
 	ginkgo.It("is told from a refusal, after which another target gets the request", func() {
+		other, err := rawtarget.StartFunc(func(r *http.Request) rawtarget.Script {
+			return rawtarget.Script{Answer: wholeAnswer + "Id: " + r.Header.Get("Id") + "\r\n\r\nwell", ReadBody: true}
+		})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		ginkgo.DeferCleanup(other.Close)
 		status, _ := d.upload("/order/refused", rawtarget.LongUpload)
 		gomega.Expect(status).To(gomega.Equal(http.StatusServiceUnavailable))
-		expectOrdinary()
+		d.store.put("target/other", d.registration(1, other.Address))
+		gomega.Eventually(func() int32 {
+			_, _ = d.upload("/read/well", 3)
+			return other.Requests.Load()
+		}, 5*time.Second).Should(gomega.BeNumerically(">", 0))
+		refusals := troubled.Requests.Load()
+		for n := 0; n < 40 && troubled.Requests.Load() == refusals; n++ {
+			status, body := d.upload("/order/refused", rawtarget.LongUpload)
+			gomega.Expect(status).To(gomega.Equal(http.StatusOK))
+			gomega.Expect(body).To(gomega.Equal("well"))
+		}
+		gomega.Expect(troubled.Requests.Load()).To(gomega.BeNumerically(">", refusals), "the target that refuses got no request")
 	})
 })
